--- /dev/null
+++ b/src/main/java/ploverdale/Logic.java
@@ -0,0 +1,766 @@
+package ploverdale;
+
+import java.util.*;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import ploverdale.model.*;
+import ploverdale.model.Happening.Ending;
+import ploverdale.model.OpType.Needs;
+import ploverdale.model.OpType.Repeats;
+import ploverdale.model.Telling.Role;
+import ploverdale.state.*;
+import ploverdale.state.Member.Trust;
+
+/**
+ * All decisions of one gateway. The host makes one Logic a gateway and hands every {@link Happening} to
+ * {@link #on}, in order, with the clock; it carries out the returned {@link Action}s, in order. Both are in
+ * ploverdale.model; what is held about servers, groups and ops is in ploverdale.state. The method is told in
+ * docs/design.md. Times are tenths of a millisecond.
+ */
+public final class Logic {
+    private static final long MS = 10;
+    /** The gateway looks round this often while it runs; short beside every latency target. */
+    private static final long BEAT = 20 * MS;
+    /** Answers come this long before a limit, so that one tick of delay does not make them late. */
+    private static final long MARGIN = 10 * MS;
+
+    private RandomGenerator chance;
+    private int gateways;
+    private List<OpType> opTypes;
+    private double beyondShareValue;
+    private Pledges pledges;
+    private Permits permits;
+    private CopyKeeping copies;
+    private long probeEvery;
+
+    private final Map<ServerId, Member> members = new LinkedHashMap<>();
+    private final Map<GroupId, Group> groups = new LinkedHashMap<>();
+    private final Map<OpId, Op> ops = new LinkedHashMap<>();
+    private final Map<SessionId, Long> sessionWrites = new LinkedHashMap<>();
+    private long forgottenWrites = Telling.UNTOLD;
+    private final List<Pace> paces = new ArrayList<>();
+    private double[] shareRate;
+    private double[] shareLeft;
+    private long sharesAt;
+    private double resendsLeft = RESENDS_MOST;
+    private long askListAt = Long.MAX_VALUE;
+
+    private long now;
+    private List<Action> out;
+
+    /** The one way in: takes what happened, returns what is to be done. */
+    public List<Action> on(long time, Happening h) {
+        now = time;
+        out = new ArrayList<>();
+        if (h instanceof Happening.OpArrived a) {
+            arrived(a);
+        } else if (h instanceof Happening.SendEnded e) {
+            sendEnded(e);
+        } else if (h instanceof Happening.WakeUp) {
+            beat();
+        } else if (h instanceof Happening.ProbeEnded e) {
+            probeEnded(e);
+        } else if (h instanceof Happening.ListTold l) {
+            listTold(l);
+        } else if (h instanceof Happening.ClientLeft c) {
+            clientLeft(c.op());
+        } else if (h instanceof Happening.AnswerBegun b && ops.containsKey(b.op())) {
+            ops.get(b.op()).begun = true;
+        } else if (h instanceof Happening.Started s) {
+            started(s);
+        }
+        return out;
+    }
+
+    private void started(Happening.Started s) {
+        chance = RandomGeneratorFactory.of("L64X128MixRandom").create(s.seed());
+        gateways = Math.max(1, s.gateways());
+        opTypes = s.opTypes();
+        beyondShareValue = s.beyondShareValue();
+        pledges = s.pledges();
+        permits = s.permits();
+        copies = s.copies();
+        shareRate = s.tenants().stream().mapToDouble(t -> t.opsPerSecond() / gateways).toArray();
+        shareLeft = shareRate.clone();
+        sharesAt = now;
+        probeEvery = PROBE_EVERY_UNBOUND;
+        for (OpType t : opTypes) {
+            paces.add(new Pace(t.latencyTarget() * FIRST_GUESS));
+            if (t.needs() == Needs.BOUNDED) {
+                probeEvery = Math.min(probeEvery, (long) (t.stalenessBound() * PROBE_SHARE_OF_BOUND));
+            }
+        }
+        askListAt = s.listOnDemand() ? now : Long.MAX_VALUE;
+        beat();
+    }
+
+    // -- The list of servers
+
+    private void listTold(Happening.ListTold told) {
+        if (told.failed()) {
+            // Guards against a list service that is down: ask again, spread out so that gateways don't meet.
+            askListAt = now + 500 * MS + chance.nextInt(1000) * MS;
+            return;
+        }
+        List<Member> missing = new ArrayList<>(told.whole() ? members.values() : List.of());
+        for (Listing l : told.listings()) {
+            Member m = members.get(l.server());
+            if (m == null && l.stage() == Listing.Stage.GONE) {
+                continue;
+            }
+            boolean fresh = m == null;
+            if (fresh) {
+                m = new Member(l.server());
+                m.limit = FIRST_LIMIT;
+                members.put(m.id, m);
+                m.group = l.group();
+                groups.computeIfAbsent(m.group, Group::new).members.add(m);
+            }
+            missing.remove(m);
+            m.zone = l.zone();
+            m.listedPrimary = l.primary();
+            stage(m, l.stage());
+            if (l.startedAt() > m.startedAt) {
+                m.startedAt = l.startedAt();
+                if (l.startedAt() + pledges.warmWithin() > now) {
+                    m.coldSince = Math.max(m.coldSince, l.startedAt());
+                    m.usualStretch = m.stretch = 1;
+                }
+            }
+            if (fresh && isIn(m)) {
+                probe(m);
+            }
+        }
+        missing.forEach(m -> stage(m, Listing.Stage.GONE));
+    }
+
+    private void stage(Member m, Listing.Stage stage) {
+        m.drainSeen |= stage == Listing.Stage.DRAINING;
+        boolean binds = stage != Listing.Stage.GONE || pledges.removalBinds() || m.drainSeen;
+        if (binds && m.stage != stage) {
+            m.stage = stage;
+            if (stage == Listing.Stage.IN) {
+                m.drainSeen = false;
+            }
+            log("server " + m.id.text() + " listed " + stage);
+        }
+    }
+
+    // -- What an op asks for
+
+    private void arrived(Happening.OpArrived a) {
+        OpType type = opTypes.get(a.type().index());
+        long target = now + type.latencyTarget() + (long) (type.targetPerWork() * a.expectedWork());
+        Op op = new Op(a, type, now, Math.min(target, now + type.opTimeout()));
+        op.needPosition = needPosition(a, type);
+        op.beyondShare = beyondShare(a.tenant().index());
+        ops.put(a.op(), op);
+        resendsLeft = Math.min(RESENDS_MOST, resendsLeft + RESENDS_PER_OP);
+        place(op);
+    }
+
+    /** A session's last write, as the position its reads must reach; others have none that stands still. */
+    private long needPosition(Happening.OpArrived a, OpType type) {
+        if (type.needs() != Needs.SESSION) {
+            return Telling.UNTOLD;
+        }
+        if (copies.tokensCarried()) {
+            return a.tokenAge() > 0 ? now - a.tokenAge() : Telling.UNTOLD;
+        }
+        return sessionWrites.getOrDefault(a.session(), forgottenWrites);
+    }
+
+    /** Remembers a session's write; past the most kept, the oldest are folded into one floor for all. */
+    private void remember(SessionId session, long committedAt) {
+        sessionWrites.remove(session);
+        sessionWrites.put(session, committedAt);
+        if (sessionWrites.size() > SESSIONS_MOST) {
+            Map.Entry<SessionId, Long> oldest = sessionWrites.entrySet().iterator().next();
+            forgottenWrites = Math.max(forgottenWrites, oldest.getValue());
+            sessionWrites.remove(oldest.getKey());
+        }
+    }
+
+    private boolean beyondShare(int tenant) {
+        if (tenant >= shareLeft.length) {
+            return false;
+        }
+        for (int i = 0; i < shareLeft.length; i++) {
+            double refill = shareRate[i] * (now - sharesAt) / (1000.0 * MS);
+            shareLeft[i] = Math.min(shareRate[i], shareLeft[i] + refill);
+        }
+        sharesAt = now;
+        boolean beyond = shareLeft[tenant] < 1;
+        shareLeft[tenant] -= beyond ? 0 : 1;
+        return beyond;
+    }
+
+    /** The last moment at which an answer to this op is worth anything. */
+    private long worthUntil(Op op) {
+        long timeout = op.asked.timeoutAt() - MARGIN;
+        return op.type.lateShare() > 0 ? timeout : Math.min(timeout, op.targetAt - MARGIN);
+    }
+
+    // -- Where an op goes: role, freshness, drain/cold/health, spread, worth sending
+
+    private record Choice(Member to, boolean hold) {
+        static final Choice HOLD = new Choice(null, true);
+        static final Choice NONE = new Choice(null, false);
+    }
+
+    private boolean place(Op op) {
+        Group g = groups.computeIfAbsent(op.asked.group(), Group::new);
+        boolean toPrimary = op.type.needs() == Needs.WRITE || op.type.needs() == Needs.FRESH;
+        Choice c = mayStillSend(op) ? toPrimary ? primaryFor(op, g) : memberFor(op, g) : Choice.NONE;
+        if (c.to != null && worthUntil(op) - now < WORTH_SENDING * paceOf(op).usual * c.to.stretch) {
+            c = Choice.NONE;
+        }
+        if (c.to == null && c.hold && now < holdUntil(op)) {
+            if (!op.held) {
+                op.held = true;
+                g.held.add(op);
+            }
+            return false;
+        }
+        g.held.remove(op);
+        op.held = false;
+        if (c.to != null) {
+            send(op, c.to);
+        } else {
+            finish(op);
+        }
+        return true;
+    }
+
+    private boolean mayStillSend(Op op) {
+        if (op.sends >= permits.sendsPerOp()) {
+            return false;
+        }
+        if (!op.mayHaveRun || op.type.repeats() == Repeats.RETRYABLE) {
+            return true;
+        }
+        return op.type.repeats() == Repeats.TOKENED && now < repeatsEnd(op);
+    }
+
+    private static long repeatsEnd(Op op) {
+        return op.firstMaybeAt + op.type.repeatWindow() - MARGIN;
+    }
+
+    /** A tokened op that may have run goes only where its repeat is known. */
+    private boolean knowsRepeat(Op op, Member m) {
+        return !op.mayHaveRun || op.type.repeats() != Repeats.TOKENED || op.type.scope() == OpType.Scope.ALL
+                || op.type.scope() == OpType.Scope.GROUP && m.group.equals(op.firstMaybeServer.group)
+                || op.type.scope() == OpType.Scope.ZONE && m.zone.equals(op.firstMaybeServer.zone);
+    }
+
+    private long holdUntil(Op op) {
+        long end = worthUntil(op);
+        if (op.mayHaveRun && op.type.repeats() == Repeats.TOKENED) {
+            end = Math.min(end, repeatsEnd(op));
+        }
+        return (op.type.lateShare() > 0 ? end : end - (long) (HOPELESS * paceOf(op).usual)) - BEAT;
+    }
+
+    private Choice primaryFor(Op op, Group g) {
+        Member p = g.primary;
+        if (p == null || !isIn(p) || !knowsRepeat(op, p) || p.trust == Trust.SILENT) {
+            return Choice.HOLD;
+        }
+        return p.trust == Trust.TRIAL && !p.out.isEmpty() || !coldAllows(p, op) || p.out.size() >= p.limit
+                ? Choice.HOLD : new Choice(p, false);
+    }
+
+    private Choice memberFor(Op op, Group g) {
+        Member best = spread(op, g, m -> admits(m, op, 0));
+        if (best == null && copies.checks() != CopyKeeping.Checks.NONE) {
+            best = spread(op, g, m -> lagsALittle(m, op));
+        }
+        if (best != null) {
+            return new Choice(best, false);
+        }
+        for (Member m : g.members) {
+            if (m != g.primary && isIn(m) && (m.trust == Trust.WELL && admits(m, op, 0)
+                    || m.probeOut && m.role == Role.UNKNOWN)) {
+                return Choice.HOLD;
+            }
+        }
+        Member p = g.primary;
+        return p != null && isIn(p) && p.trust == Trust.WELL && coldAllows(p, op) && nearUsual(p)
+                ? new Choice(p, false) : Choice.NONE;
+    }
+
+    /** The cheapest trusted replica with room among those let in. */
+    private Member spread(Op op, Group g, Predicate<Member> letIn) {
+        Member best = null;
+        double least = 0;
+        for (Member m : g.members) {
+            if (m != g.primary && isIn(m) && trusted(m) && knowsRepeat(op, m) && m.out.size() < m.limit
+                    && letIn.test(m) && coldAllows(m, op)) {
+                double cost = cost(m, op);
+                if (best == null || cost < least) {
+                    best = m;
+                    least = cost;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** The filter: a replica answers only when its last known position fits; unknown is too stale. */
+    private boolean admits(Member m, Op op, long slack) {
+        return switch (op.type.needs()) {
+            case UNBOUNDED -> true;
+            case BOUNDED -> now - m.position <= op.type.stalenessBound() + slack;
+            case SESSION -> m.position + slack >= op.needPosition;
+            default -> false;
+        };
+    }
+
+    /** Where replicas check reads, one that lags a little may go first, until it turns one away. */
+    private boolean lagsALittle(Member m, Op op) {
+        return m.turnedAwayAt < m.positionToldAt && m != op.at
+                && admits(m, op, copies.checkWait() + probeEvery);
+    }
+
+    private boolean nearUsual(Member p) {
+        return p.out.size() < p.limit * PRIMARY_READ_SHARE
+                && stretchNow(p) <= GATE * Math.max(1, p.usualStretch);
+    }
+
+    private double cost(Member m, Op op) {
+        double again = m == op.at ? AGAIN_COST : 1;
+        return again * stretchNow(m) * (m.out.size() + 1) / warmth(m) * (1 + 0.1 * chance.nextDouble());
+    }
+
+    private static boolean isIn(Member m) {
+        return m.stage == Listing.Stage.IN;
+    }
+
+    private boolean trusted(Member m) {
+        return m.trust == Trust.WELL || m.trust == Trust.TRIAL && m.out.isEmpty();
+    }
+
+    // -- Cold servers
+
+    private double warmth(Member m) {
+        double share = Math.max(0, (now - m.coldSince) / (double) Math.max(1, pledges.warmWithin()));
+        return Math.min(1, pledges.startCapacity() + (1 - pledges.startCapacity()) * share);
+    }
+
+    /**
+     * Guards against all gateways together pushing a cold server over: each sends it no more than its present
+     * capacity's part of what it sends a warm peer, so the sum keeps the same part of what peers take.
+     */
+    private boolean coldAllows(Member m, Op op) {
+        double warmth = warmth(m);
+        if (warmth >= 1) {
+            return true;
+        }
+        double work = paceOf(op).usual;
+        double peers = peerWork(groups.get(m.group).members, m);
+        if (peers < 0) {
+            peers = peerWork(members.values(), m);
+        }
+        return sentWork(m) + work <= COLD_SHARE * pledges.overloadMultiple() * warmth * peers
+                || m.out.isEmpty() && work < pledges.overloadWindow() * COLD_SINGLE;
+    }
+
+    private double peerWork(Iterable<Member> peers, Member but) {
+        double sum = 0;
+        int count = 0;
+        for (Member p : peers) {
+            if (p != but && isIn(p) && p.trust == Trust.WELL && warmth(p) >= 1) {
+                sum += sentWork(p);
+                count++;
+            }
+        }
+        return count == 0 ? -1 : sum / count;
+    }
+
+    /** Work sent in about the last window of the cold rule. */
+    private double sentWork(Member m) {
+        m.sentWork *= Math.exp(-(now - m.sentWorkAt) / (double) Math.max(MS, pledges.overloadWindow()));
+        m.sentWorkAt = now;
+        return m.sentWork;
+    }
+
+    // -- Sends and their ends
+
+    private void send(Op op, Member m) {
+        long until = op.type.repeats() == Repeats.RETRYABLE ? worthUntil(op) : op.asked.timeoutAt();
+        out.add(new Action.Send(op.asked.op(), m.id, Math.max(1, until - now)));
+        op.sendOut = op.sends++;
+        op.at = m;
+        op.sentAt = now;
+        op.calledOff = false;
+        m.out.put(op.asked.op(), op);
+        sentWork(m);
+        m.sentWork += paceOf(op).usual;
+    }
+
+    private void sendEnded(Happening.SendEnded e) {
+        Member m = members.get(e.server());
+        if (m == null) {
+            return;
+        }
+        Op op = m.out.remove(e.op());
+        learnRole(m, e.note(), now);
+        learnRole(m, e.report(), now - REPORT_AGE);
+        if (op != null) {
+            learnHealth(m, op, e);
+        }
+        Op live = ops.get(e.op());
+        if (live != null && e.ending() == Ending.ACKED && live.type.needs() == Needs.WRITE
+                && live.asked.session() != null) {
+            remember(live.asked.session(),
+                    e.note() == null || e.note().position() == Telling.UNTOLD ? now : e.note().position());
+        }
+        if (live != null && live.sendOut == e.send()) {
+            live.sendOut = -1;
+            if (e.settled()) {
+                ops.remove(e.op());
+            } else {
+                next(live, m, e.ending());
+            }
+        }
+        release(groups.get(m.group));
+    }
+
+    private void next(Op op, Member m, Ending ending) {
+        if (!ending.provesNotRun && !op.mayHaveRun) {
+            op.mayHaveRun = true;
+            op.firstMaybeAt = op.sentAt;
+            op.firstMaybeServer = m;
+        }
+        boolean wrongRole = ending == Ending.TURNED_AWAY && op.type.needs() == Needs.WRITE;
+        if (!wrongRole && resendsLeft < 1) {
+            finish(op); // guards against storms: repeats stay a small part of all sends
+            return;
+        }
+        resendsLeft -= wrongRole ? 0 : 1;
+        place(op);
+    }
+
+    private void finish(Op op) {
+        ops.remove(op.asked.op());
+        boolean harmless = !op.mayHaveRun || op.type.repeats() == Repeats.RETRYABLE
+                || op.type.repeats() == Repeats.TOKENED && op.type.scope() == OpType.Scope.ALL;
+        long back = Math.min(op.type.latencyTarget(), permits.longestComeBack());
+        out.add(harmless ? new Action.BusyReply(op.asked.op(), permits.comeBackTimes() ? back : 0)
+                : new Action.ErrorReply(op.asked.op()));
+    }
+
+    private void clientLeft(OpId id) {
+        Op op = ops.remove(id);
+        if (op != null) {
+            groups.get(op.asked.group()).held.remove(op);
+            callOff(op);
+        }
+    }
+
+    private void callOff(Op op) {
+        if (op.sendOut >= 0 && permits.callOff() && !op.calledOff && !op.begun) {
+            op.calledOff = true;
+            out.add(new Action.CallOff(op.asked.op(), op.sendOut));
+        }
+    }
+
+    // -- Held ops
+
+    /** Gives freed room to the ops with the most value per work, newest first. */
+    private void release(Group g) {
+        if (g == null || g.held.isEmpty()) {
+            return;
+        }
+        List<Op> order = new ArrayList<>(g.held);
+        order.sort(Comparator.comparingDouble((Op op) -> -valuePerWork(op))
+                .thenComparing(op -> -op.arrivedAt));
+        boolean[] stuck = new boolean[opTypes.size()];
+        for (Op op : order) {
+            int type = op.asked.type().index();
+            if (now >= holdUntil(op) || !stuck[type]) {
+                stuck[type] |= !place(op);
+            }
+        }
+    }
+
+    private double valuePerWork(Op op) {
+        return op.type.value() * (op.beyondShare ? beyondShareValue : 1) / paceOf(op).usual;
+    }
+
+    private Pace paceOf(Op op) {
+        return paces.get(op.asked.type().index());
+    }
+
+    // -- Roles, positions, probes
+
+    private void probe(Member m) {
+        if (permits.probes() && !m.probeOut) {
+            m.probeOut = true;
+            m.probedAt = now;
+            out.add(new Action.Probe(m.id));
+        }
+    }
+
+    private void probeEnded(Happening.ProbeEnded e) {
+        Member m = members.get(e.server());
+        if (m == null) {
+            return;
+        }
+        m.probeOut = false;
+        if (!e.answered()) {
+            m.probeFailures++;
+            if (m.probeFailures >= PROBES_TO_SILENCE) {
+                silent(m, "probes unanswered " + m.probeFailures);
+            }
+            return;
+        }
+        m.probeFailures = 0;
+        learnRole(m, e.report(), now - REPORT_AGE);
+        if (m.trust == Trust.SILENT && now >= m.retryAt) {
+            returns(m, "answers probes");
+        }
+        release(groups.get(m.group));
+    }
+
+    /** Newest word wins; a position never goes back. */
+    private void learnRole(Member m, Telling t, long toldAt) {
+        if (t == null) {
+            return;
+        }
+        if (t.position() != Telling.UNTOLD) {
+            m.position = Math.max(m.position, t.position());
+            m.positionToldAt = now;
+        }
+        if (t.role() == Role.UNKNOWN || toldAt < m.roleToldAt) {
+            return;
+        }
+        m.role = t.role();
+        m.roleToldAt = toldAt;
+        Group g = groups.get(m.group);
+        Member was = g.primary;
+        if (m.role == Role.PRIMARY && (was == null || was.role != Role.PRIMARY || was.roleToldAt < toldAt)) {
+            g.primary = m;
+        } else if (m.role != Role.PRIMARY && was == m) {
+            g.primary = null;
+        }
+        if (g.primary != was) {
+            log("group " + g.id.number() + " primary " + nameOf(was) + " to " + nameOf(g.primary));
+        }
+    }
+
+    private static String nameOf(Member m) {
+        return m == null ? "unknown" : m.id.text();
+    }
+
+    private void beat() {
+        out.add(new Action.Wake(now + BEAT, 0));
+        if (now >= askListAt) {
+            out.add(new Action.FollowList());
+            askListAt = Long.MAX_VALUE;
+        }
+        for (Member m : members.values()) {
+            if (m.trust != Trust.SILENT) {
+                lookForSilence(m);
+            }
+            if (m.trust == Trust.FAILING && now >= m.retryAt) {
+                trust(m, Trust.TRIAL, "after " + m.penalty / MS + " ms");
+            }
+            long last = Math.max(m.probedAt, m.trust == Trust.SILENT ? Telling.UNTOLD : m.positionToldAt);
+            if (isIn(m) && now - last >= probeInterval(m)) {
+                probe(m);
+            }
+        }
+        for (Group g : groups.values()) {
+            for (Member m : g.members) {
+                if (g.primary == null && m.role == Role.UNKNOWN && m.listedPrimary && isIn(m)
+                        && m.trust == Trust.WELL) {
+                    g.primary = m; // the list's word, until the member itself is heard
+                }
+            }
+            release(g);
+        }
+    }
+
+    private long probeInterval(Member m) {
+        Group g = groups.get(m.group);
+        boolean searching = g.primary == null || g.primary.trust == Trust.SILENT || !isIn(g.primary);
+        return searching ? Math.min(probeEvery, PROBE_EVERY_SEARCHING) : probeEvery;
+    }
+
+    // -- Health
+
+    private void learnHealth(Member m, Op op, Happening.SendEnded e) {
+        Ending ending = e.ending();
+        if (ending == Ending.NOT_CONNECTED || ending == Ending.BROKEN_OFF) {
+            if (++m.deadSigns >= DEAD_SIGNS) {
+                silent(m, "connections lost " + m.deadSigns);
+            }
+        } else if (ending != Ending.TIMED_OUT && ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT) {
+            m.answeredAt = now;
+            m.deadSigns = 0;
+            if (m.trust == Trust.SILENT) {
+                returns(m, "answers");
+            }
+        }
+        switch (ending) {
+            case ACKED -> {
+                learnPace(m, op, e.took());
+                m.failShare *= 1 - FAIL_WEIGHT;
+                if (m.trust == Trust.TRIAL && ++m.trialsPassed >= TRIALS) {
+                    trust(m, Trust.WELL, "trials passed " + m.trialsPassed);
+                }
+            }
+            case ERRORED, BROKEN_OFF, NOT_CONNECTED -> {
+                m.failShare += FAIL_WEIGHT * (1 - m.failShare);
+                failing(m);
+            }
+            case TIMED_OUT -> learnPace(m, op, Math.max(e.took(), (long) (paceOf(op).usual * m.stretch)));
+            case FULL -> m.limit = Math.max(LEAST_LIMIT, Math.min(m.limit, m.out.size()));
+            case TURNED_AWAY -> {
+                m.turnedAwayAt = now;
+                if (op.type.needs() == Needs.WRITE) {
+                    learnRole(m, new Telling(Role.REPLICA, Telling.UNTOLD), now);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** Latency as a multiple of the op type's usual, and as a part of its target, which moves the limit. */
+    private void learnPace(Member m, Op op, long took) {
+        Pace pace = paceOf(op);
+        double gain = Math.max(1.0 / ++pace.samples, 0.02);
+        pace.recent += gain * (took - pace.recent);
+        double slow = Math.min(1, (now - pace.at) / (double) USUAL_RISES_IN);
+        boolean falls = pace.recent < pace.usual || pace.samples < 20;
+        pace.usual += (falls ? 0.1 : slow) * (pace.recent - pace.usual);
+        pace.at = now;
+
+        double stretch = Math.min(STRETCH_MOST, took / pace.usual);
+        m.stretch = stretchNow(m) + STRETCH_WEIGHT * (stretch - stretchNow(m));
+        double slowly = Math.min(1, (now - m.stretchAt) / (double) USUAL_RISES_IN);
+        m.usualStretch += (m.stretch < m.usualStretch ? 0.05 : slowly) * (m.stretch - m.usualStretch);
+        m.stretchAt = now;
+
+        double part = took / (double) Math.max(1, op.targetAt - op.arrivedAt);
+        m.pressure += STRETCH_WEIGHT * (Math.min(3, part) - m.pressure);
+        if (m.pressure > PRESSURE_WANTED) {
+            m.limit = Math.max(LEAST_LIMIT, m.limit - LIMIT_STEP);
+        } else if (m.out.size() + 1 >= m.limit * 0.7) {
+            m.limit += LIMIT_STEP;
+        }
+    }
+
+    /** Old news of slowness fades, so that a server which has recovered is tried again. */
+    private double stretchNow(Member m) {
+        double fade = Math.exp(-(now - m.stretchAt) / (double) STRETCH_FADES_IN);
+        return m.usualStretch + (m.stretch - m.usualStretch) * fade;
+    }
+
+    /** Guards against dead, hung and cut-off servers alike: far fewer answers than the sends should bring. */
+    private void lookForSilence(Member m) {
+        if (m.out.isEmpty()) {
+            return;
+        }
+        long oldest = m.out.values().iterator().next().sentAt;
+        long quiet = now - Math.max(m.answeredAt, oldest);
+        if (quiet < SILENCE_LEAST) {
+            return;
+        }
+        double missing = 0;
+        for (Op op : m.out.values()) {
+            missing += Math.min(quiet, now - op.sentAt) / (paceOf(op).usual * Math.max(1, m.stretch));
+        }
+        if (missing > ANSWERS_MISSED) {
+            silent(m, "quiet " + quiet / MS + " ms with " + m.out.size() + " out");
+        }
+    }
+
+    private void silent(Member m, String why) {
+        if (m.trust == Trust.SILENT) {
+            return;
+        }
+        trust(m, Trust.SILENT, why);
+        for (Op op : List.copyOf(m.out.values())) {
+            if (op.type.repeats() == Repeats.RETRYABLE && ops.get(op.asked.op()) == op) {
+                callOff(op);
+            }
+        }
+    }
+
+    private void returns(Member m, String why) {
+        long away = now - m.trustSince;
+        // Guards against a restart that the list has not told yet: long away counts as freshly started.
+        m.coldSince = away < BRIEF ? m.coldSince : now;
+        trust(m, away < BRIEF ? Trust.WELL : Trust.TRIAL, why + " after " + away / MS + " ms");
+    }
+
+    /** Guards against servers that fail fast and so draw traffic; never leaves the group with too few. */
+    private void failing(Member m) {
+        if (m.failShare < FAIL_SHARE || m.trust == Trust.SILENT || m.trust == Trust.FAILING) {
+            return;
+        }
+        Group g = groups.get(m.group);
+        long well = g.members.stream().filter(o -> o != m && isIn(o) && o.trust == Trust.WELL).count();
+        if (m == g.primary || well * 2 < g.members.size()) {
+            return;
+        }
+        trust(m, Trust.FAILING, "fails " + Math.round(m.failShare * 100) + " %");
+    }
+
+    private void trust(Member m, Trust to, String why) {
+        log("server " + m.id.text() + " " + m.trust + " to " + to + ": " + why);
+        if (to == Trust.SILENT || to == Trust.FAILING) {
+            m.penalty = m.trust == Trust.TRIAL ? Math.min(PENALTY_MOST, m.penalty * 2) : PENALTY_FIRST;
+            m.retryAt = now + m.penalty;
+        }
+        m.trust = to;
+        m.trustSince = now;
+        m.trialsPassed = 0;
+        m.failShare = Math.min(m.failShare, FAIL_SHARE / 2);
+    }
+
+    private void log(String text) {
+        out.add(new Action.LogLine(text));
+    }
+
+    // -- Tuned values
+
+    /** Probes come this often, as a share of the tightest staleness bound; the design's starting value. */
+    private static final double PROBE_SHARE_OF_BOUND = 1 / 3.0;
+    private static final long PROBE_EVERY_UNBOUND = 1000 * MS;
+    private static final long PROBE_EVERY_SEARCHING = 150 * MS;
+    /** A report may be this old when it comes. */
+    private static final long REPORT_AGE = 300 * MS;
+    private static final int PROBES_TO_SILENCE = 2;
+    private static final int DEAD_SIGNS = 2;
+    private static final long SILENCE_LEAST = 250 * MS;
+    private static final double ANSWERS_MISSED = 8;
+    private static final long PENALTY_FIRST = 300 * MS;
+    private static final long PENALTY_MOST = 8000 * MS;
+    private static final long BRIEF = 1500 * MS;
+    private static final int TRIALS = 3;
+    private static final double FAIL_WEIGHT = 0.15;
+    private static final double FAIL_SHARE = 0.35;
+    private static final double FIRST_GUESS = 0.2;
+    private static final long USUAL_RISES_IN = 60_000 * MS;
+    private static final double STRETCH_WEIGHT = 0.1;
+    private static final double STRETCH_MOST = 8;
+    private static final long STRETCH_FADES_IN = 5000 * MS;
+    private static final double PRESSURE_WANTED = 0.45;
+    private static final double LIMIT_STEP = 0.2;
+    private static final double FIRST_LIMIT = 12;
+    private static final double LEAST_LIMIT = 2;
+    private static final double GATE = 1.8;
+    private static final double PRIMARY_READ_SHARE = 0.7;
+    private static final double AGAIN_COST = 4;
+    private static final double COLD_SHARE = 0.5;
+    private static final double COLD_SINGLE = 0.1;
+    private static final double WORTH_SENDING = 0.5;
+    private static final double HOPELESS = 1.2;
+    private static final double RESENDS_PER_OP = 0.25;
+    private static final double RESENDS_MOST = 40;
+    private static final int SESSIONS_MOST = 50_000;
+}
--- /dev/null
+++ b/src/main/java/ploverdale/benchlink/BenchLink.java
@@ -0,0 +1,158 @@
+package ploverdale.benchlink;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.BufferedOutputStream;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ploverdale.Logic;
+import ploverdale.model.Action;
+import ploverdale.model.Happening;
+import ploverdale.model.Listing;
+import ploverdale.model.OpId;
+
+/** Speaks the simulator's wire: one Logic for each gateway, nothing shared but the numbered lists. */
+public final class BenchLink {
+    private record Host(Logic logic, Reader reader) {}
+
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final JsonFactory json = JsonFactory.builder().build();
+    private final Map<Long, List<Listing>> ledgers = new HashMap<>();
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final Set<String> stopped = new HashSet<>();
+
+    public BenchLink(InputStream in, OutputStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = new BufferedOutputStream(out, 1 << 16);
+    }
+
+    /** Answers batch after batch until the input ends. */
+    public void run() throws IOException {
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (!line.isBlank()) {
+                reply(line);
+            }
+        }
+    }
+
+    private void reply(String line) throws IOException {
+        Fields batch = batch(line);
+        long now = Fields.up(batch.number("timeMs"));
+        JsonGenerator g = json.createGenerator(out);
+        g.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
+        g.writeStartObject();
+        g.writeArrayFieldStart("out");
+        for (Object item : batch.list("news")) {
+            if (!(item instanceof Map<?, ?> event) || event.size() != 1) {
+                throw new WireFault("an event is not an object with a single key");
+            }
+            for (Map.Entry<?, ?> e : event.entrySet()) {
+                event(g, now, (String) e.getKey(), e.getValue());
+            }
+        }
+        g.writeEndArray();
+        g.writeEndObject();
+        g.close();
+        out.write('\n');
+        out.flush();
+    }
+
+    private Fields batch(String line) throws IOException {
+        try (JsonParser p = json.createParser(line)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                throw new WireFault("a line is not a JSON object");
+            }
+            Fields batch = Fields.of("batch", Fields.read(p));
+            if (p.nextToken() != null) {
+                throw new WireFault("a line holds more than one JSON value");
+            }
+            return batch;
+        } catch (JsonProcessingException e) {
+            throw new WireFault("a line is not JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    private void event(JsonGenerator g, long now, String name, Object body) throws IOException {
+        switch (name) {
+            case "LEDGER" -> {
+                Fields f = Fields.of(name, body);
+                ledgers.put(f.whole("sheet"), Reader.listings(f));
+            }
+            case "POWER_OFF" -> {
+                String gateway = Fields.of(name, body).text("gateway");
+                hosts.remove(gateway);
+                stopped.add(gateway);
+            }
+            case "BOOT" -> {
+                Fields f = Fields.of(name, body);
+                Reader reader = new Reader(f);
+                Host host = new Host(new Logic(), reader);
+                hosts.put(f.text("gateway"), host);
+                tell(g, now, f.text("gateway"), host, reader.started());
+            }
+            case "ANNOUNCE", "REQ", "STARTED", "RESPONSE", "VANISHED", "ALARM", "PING_RESULT", "DATAGRAM" -> {
+                Fields f = Fields.of(name, body);
+                String gateway = f.text("gateway");
+                Host host = hosts.get(gateway);
+                if (host != null) {
+                    tell(g, now, gateway, host, happening(name, f, host.reader()));
+                } else if (!stopped.contains(gateway)) {
+                    throw new WireFault(name + " with a field gateway that names one never started: " + gateway);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private Happening happening(String name, Fields f, Reader reader) {
+        return switch (name) {
+            case "ANNOUNCE" -> reader.listTold(f, ledgerOf(f));
+            case "REQ" -> reader.opArrived(f);
+            case "STARTED" -> reader.answerBegun(f);
+            case "RESPONSE" -> reader.sendEnded(f);
+            case "VANISHED" -> new Happening.ClientLeft(new OpId(f.text("ref")));
+            case "ALARM" -> new Happening.WakeUp(f.whole("tag"));
+            case "PING_RESULT" -> reader.probeEnded(f);
+            default -> new Happening.PeerMessage((int) f.whole("from"), f.text("body"));
+        };
+    }
+
+    private List<Listing> ledgerOf(Fields f) {
+        if (f.text("how").equals("broken")) {
+            return List.of();
+        }
+        List<Listing> rows = ledgers.get(f.whole("sheet"));
+        if (rows == null) {
+            throw new WireFault("ANNOUNCE with a field sheet that names no list");
+        }
+        return rows;
+    }
+
+    private static void tell(JsonGenerator g, long now, String gateway, Host host, Happening happening)
+            throws IOException {
+        List<Action> actions;
+        try {
+            actions = host.logic().on(now, happening);
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            Writer.broken(g, gateway, e + (trace.length > 0 ? " at " + trace[0] : ""));
+            return;
+        }
+        for (Action action : actions) {
+            Writer.write(g, gateway, action);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/benchlink/Fields.java
@@ -0,0 +1,145 @@
+package ploverdale.benchlink;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The fields of one wire object, read by name; absent numbers are 0, absent marks false. */
+final class Fields {
+    private final String owner;
+    private final Map<String, Object> values;
+
+    Fields(String owner, Map<String, Object> values) {
+        this.owner = owner;
+        this.values = values;
+    }
+
+    /** Reads the value that the parser stands on: map, list, text, long, double, boolean or null. */
+    static Object read(JsonParser p) throws IOException {
+        switch (p.currentToken()) {
+            case START_OBJECT: {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (p.nextToken() != JsonToken.END_OBJECT) {
+                    String name = p.currentName();
+                    p.nextToken();
+                    map.put(name, read(p));
+                }
+                return map;
+            }
+            case START_ARRAY: {
+                List<Object> list = new ArrayList<>();
+                while (p.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(read(p));
+                }
+                return list;
+            }
+            case VALUE_STRING:
+                return p.getText();
+            case VALUE_NUMBER_INT:
+                return p.getNumberType() == JsonParser.NumberType.BIG_INTEGER ? p.getDoubleValue() : (Object) p.getLongValue();
+            case VALUE_NUMBER_FLOAT:
+                return p.getDoubleValue();
+            case VALUE_TRUE:
+                return true;
+            case VALUE_FALSE:
+                return false;
+            default:
+                return null;
+        }
+    }
+
+    /** The object that a named value holds. */
+    static Fields of(String owner, Object value) {
+        if (!(value instanceof Map<?, ?> map)) {
+            throw new WireFault(owner + " is not an object");
+        }
+        Map<String, Object> copy = new LinkedHashMap<>();
+        map.forEach((k, v) -> copy.put((String) k, v));
+        return new Fields(owner, copy);
+    }
+
+    boolean has(String name) {
+        return values.get(name) != null;
+    }
+
+    private Object must(String name) {
+        Object v = values.get(name);
+        if (v == null) {
+            throw new WireFault(owner + " without field " + name);
+        }
+        return v;
+    }
+
+    private WireFault bad(String name) {
+        return new WireFault(owner + " with a field " + name + " of the wrong form");
+    }
+
+    String text(String name) {
+        if (must(name) instanceof String s) {
+            return s;
+        }
+        throw bad(name);
+    }
+
+    String text(String name, String absent) {
+        return has(name) ? text(name) : absent;
+    }
+
+    long whole(String name) {
+        if (must(name) instanceof Number n) {
+            return n.longValue();
+        }
+        throw bad(name);
+    }
+
+    long whole(String name, long absent) {
+        return has(name) ? whole(name) : absent;
+    }
+
+    double number(String name, double absent) {
+        if (!has(name)) {
+            return absent;
+        }
+        if (values.get(name) instanceof Number n) {
+            return n.doubleValue();
+        }
+        throw bad(name);
+    }
+
+    double number(String name) {
+        must(name);
+        return number(name, 0);
+    }
+
+    boolean mark(String name) {
+        return Boolean.TRUE.equals(values.get(name));
+    }
+
+    Fields object(String name) {
+        return has(name) ? of(owner + "." + name, values.get(name)) : new Fields(owner + "." + name, Map.of());
+    }
+
+    List<Object> list(String name) {
+        if (!has(name)) {
+            return List.of();
+        }
+        if (values.get(name) instanceof List<?> l) {
+            return new ArrayList<>(l);
+        }
+        throw bad(name);
+    }
+
+    /** Milliseconds to tenths, rounded down. */
+    static long down(double ms) {
+        return Math.floorDiv(Math.round(ms * 1000), 100);
+    }
+
+    /** Milliseconds to tenths, rounded up. */
+    static long up(double ms) {
+        return -Math.floorDiv(-Math.round(ms * 1000), 100);
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/model/Action.java
@@ -0,0 +1,29 @@
+package ploverdale.model;
+
+/** All that a gateway can do. Times in tenths of a millisecond. */
+public sealed interface Action {
+
+    /** Send the op to a server and wait this long at most. */
+    record Send(OpId op, ServerId server, long timeLimit) implements Action {}
+
+    /** Stop waiting for a send. */
+    record CallOff(OpId op, int send) implements Action {}
+
+    /** Tell the client that trying again does no harm, and when; 0 names no time. */
+    record BusyReply(OpId op, long comeBackIn) implements Action {}
+
+    /** Tell the client that the op failed, which promises nothing. */
+    record ErrorReply(OpId op) implements Action {}
+
+    /** Wake the gateway at this time. */
+    record Wake(long at, long mark) implements Action {}
+
+    /** Ask a server how it is. */
+    record Probe(ServerId server) implements Action {}
+
+    /** Ask for changes of the list from now on. */
+    record FollowList() implements Action {}
+
+    /** Write a line to the log. */
+    record LogLine(String text) implements Action {}
+}
--- /dev/null
+++ b/src/main/java/ploverdale/model/GroupId.java
@@ -0,0 +1,4 @@
+package ploverdale.model;
+
+/** Names a group: one primary and its replicas. */
+public record GroupId(long number) {}
--- /dev/null
+++ b/src/main/java/ploverdale/model/Happening.java
@@ -0,0 +1,53 @@
+package ploverdale.model;
+
+import java.util.List;
+
+/** All that can happen to a gateway. Times in tenths of a millisecond. */
+public sealed interface Happening {
+
+    /** The gateway starts and knows nothing but this. */
+    record Started(
+            long seed, int gateways, List<OpType> opTypes, List<Tenant> tenants, double beyondShareValue,
+            Pledges pledges, Permits permits, CopyKeeping copies, boolean listOnDemand) implements Happening {}
+
+    /** The list of servers, whole or its changes; failed when asking for it brought none. */
+    record ListTold(boolean whole, boolean failed, List<Listing> listings) implements Happening {}
+
+    /** A client's op; a token age of 0 means that the session has no earlier write. */
+    record OpArrived(
+            OpId op, OpTypeId type, TenantId tenant, GroupId group, SessionId session, long timeoutAt,
+            boolean again, long expectedWork, long tokenAge) implements Happening {}
+
+    /** The answer to a streamed op has begun. */
+    record AnswerBegun(OpId op, int send, ServerId server) implements Happening {}
+
+    /** A send has ended; settled when the op has, too. Either telling may be null. */
+    record SendEnded(
+            OpId op, int send, ServerId server, Ending ending, long took, boolean settled, Telling note,
+            Telling report) implements Happening {}
+
+    /** The client has gone. */
+    record ClientLeft(OpId op) implements Happening {}
+
+    /** A wake-up that was asked for. */
+    record WakeUp(long mark) implements Happening {}
+
+    /** A probe has ended; the report may be null. */
+    record ProbeEnded(ServerId server, boolean answered, Telling report) implements Happening {}
+
+    /** Another gateway's message. */
+    record PeerMessage(int from, String hex) implements Happening {}
+
+    /** How a send ended. */
+    enum Ending {
+        ACKED(false), ERRORED(false), FULL(true), TIMED_OUT(false), NOT_CONNECTED(true), BROKEN_OFF(false),
+        CALLED_OFF(false), NEVER_SENT(true), TURNED_AWAY(true);
+
+        /** True when this proves that the op did not run. */
+        public final boolean provesNotRun;
+
+        Ending(boolean provesNotRun) {
+            this.provesNotRun = provesNotRun;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/model/ServerId.java
@@ -0,0 +1,4 @@
+package ploverdale.model;
+
+/** Names a database server. */
+public record ServerId(String text) {}
--- /dev/null
+++ b/src/main/java/ploverdale/model/ZoneId.java
@@ -0,0 +1,4 @@
+package ploverdale.model;
+
+/** Names a place where servers stand. */
+public record ZoneId(int number) {}
--- /dev/null
+++ b/src/main/java/ploverdale/state/Group.java
@@ -0,0 +1,17 @@
+package ploverdale.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import ploverdale.model.GroupId;
+
+/** The members of a group and the ops that wait for one of them. */
+public final class Group {
+    public final GroupId id;
+    public final List<Member> members = new ArrayList<>();
+    public final List<Op> held = new ArrayList<>();
+    public Member primary;
+
+    public Group(GroupId id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/state/Member.java
@@ -0,0 +1,57 @@
+package ploverdale.state;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import ploverdale.model.GroupId;
+import ploverdale.model.Listing;
+import ploverdale.model.OpId;
+import ploverdale.model.ServerId;
+import ploverdale.model.Telling;
+import ploverdale.model.ZoneId;
+
+/** All that this gateway holds about one database server. Times in tenths of a millisecond. */
+public final class Member {
+    /** How far this server is trusted. */
+    public enum Trust { WELL, TRIAL, FAILING, SILENT }
+
+    public final ServerId id;
+    public GroupId group;
+    public ZoneId zone;
+    public Listing.Stage stage = Listing.Stage.IN;
+    public boolean drainSeen;
+    public boolean listedPrimary;
+    public long startedAt;
+
+    public Telling.Role role = Telling.Role.UNKNOWN;
+    public long roleToldAt = Telling.UNTOLD;
+    public long position = Telling.UNTOLD;
+    public long positionToldAt = Telling.UNTOLD;
+    public long turnedAwayAt = Telling.UNTOLD;
+
+    public long probedAt = Telling.UNTOLD;
+    public boolean probeOut;
+    public int probeFailures;
+
+    public Trust trust = Trust.WELL;
+    public long trustSince;
+    public long retryAt;
+    public long penalty;
+    public int trialsPassed;
+    public int deadSigns;
+    public double failShare;
+    public long coldSince = Telling.UNTOLD;
+
+    public final Map<OpId, Op> out = new LinkedHashMap<>();
+    public long answeredAt = Telling.UNTOLD;
+    public double limit;
+    public double pressure;
+    public double stretch = 1;
+    public double usualStretch = 1;
+    public long stretchAt;
+    public double sentWork;
+    public long sentWorkAt;
+
+    public Member(ServerId id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/state/Op.java
@@ -0,0 +1,32 @@
+package ploverdale.state;
+
+import ploverdale.model.Happening.OpArrived;
+import ploverdale.model.OpType;
+
+/** All that this gateway holds about one op. Times in tenths of a millisecond. */
+public final class Op {
+    public final OpArrived asked;
+    public final OpType type;
+    public final long arrivedAt;
+    public final long targetAt;
+    public long needPosition;
+    public boolean beyondShare;
+
+    public int sends;
+    public Member at;
+    public int sendOut = -1;
+    public long sentAt;
+    public boolean calledOff;
+    public boolean begun;
+    public boolean held;
+    public boolean mayHaveRun;
+    public long firstMaybeAt;
+    public Member firstMaybeServer;
+
+    public Op(OpArrived asked, OpType type, long arrivedAt, long targetAt) {
+        this.asked = asked;
+        this.type = type;
+        this.arrivedAt = arrivedAt;
+        this.targetAt = targetAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/state/Pace.java
@@ -0,0 +1,14 @@
+package ploverdale.state;
+
+/** How long ops of one type take, lately and as a rule. */
+public final class Pace {
+    public double recent;
+    public double usual;
+    public long samples;
+    public long at;
+
+    public Pace(double start) {
+        recent = start;
+        usual = start;
+    }
+}
--- /dev/null
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -0,0 +1,250 @@
+package ploverdale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import ploverdale.model.CopyKeeping;
+import ploverdale.model.Happening;
+import ploverdale.model.Happening.Ending;
+import ploverdale.model.Listing.Stage;
+import ploverdale.model.OpId;
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+
+/** Stories of single failures, each against the fake host. */
+class LogicTest {
+    private final FakeHost host = FakeHost.settled();
+
+    private static Telling note(Role role, long positionMs) {
+        return new Telling(role, positionMs * 10);
+    }
+
+    @Test
+    void levelReplicasTakeBoundedReadsAndThePrimaryTakesWrites() {
+        assertThat(host.sends(host.ask(FakeHost.VIEW))).isSubsetOf("r1", "r2").hasSize(1);
+        assertThat(host.sends(host.ask(FakeHost.SUBMIT))).containsExactly("p");
+    }
+
+    @Test
+    void aNewGatewayProbesAtOnceAndHoldsABoundedReadUntilAPositionIsKnown() {
+        FakeHost fresh = new FakeHost();
+        fresh.list(true, "p", "r1");
+        assertThat(fresh.probes("r1")).isEqualTo(1);
+        OpId read = fresh.ask(FakeHost.VIEW);
+        assertThat(fresh.sends(read)).isEmpty();
+        fresh.probed("r1", Role.REPLICA, fresh.nowMs - 100);
+        assertThat(fresh.sends(read)).containsExactly("r1");
+    }
+
+    @Test
+    void aReplicaBeyondTheBoundLosesBoundedReadsButKeepsUnboundedOnes() {
+        host.nowMs += 400;
+        host.probed("r1", Role.REPLICA, host.nowMs);
+        host.nowMs += 150;
+        for (int i = 0; i < 5; i++) {
+            assertThat(host.sends(host.ask(FakeHost.VIEW))).containsExactly("r1");
+        }
+        assertThat(host.sends(host.ask(FakeHost.HISTORY))).containsExactly("r2");
+    }
+
+    @Test
+    void withNoReplicaAdmittedThePrimaryTakesReadsUntilItsGateShutsThenABusyReplyComesAtOnce() {
+        host.nowMs += 600;
+        assertThat(host.sends(host.ask(FakeHost.VIEW))).containsExactly("p");
+        OpId refused = null;
+        for (int i = 0; i < 30; i++) {
+            refused = host.ask(FakeHost.VIEW);
+        }
+        assertThat(host.sends(refused)).isEmpty();
+        assertThat(host.busyReplies(refused)).isEqualTo(1);
+    }
+
+    @Test
+    void whereReplicasCheckReadsASlightlyLaggingOneGoesFirstButNotAfterItTurnedOneAway() {
+        FakeHost checked = new FakeHost(CopyKeeping.Checks.WAITS, false, true, 1);
+        checked.list(true, "p", "r1");
+        checked.levelled("p", "r1");
+        checked.nowMs += 560;
+        OpId read = checked.ask(FakeHost.VIEW);
+        checked.nowMs += 50;
+        checked.ends(read, 0, "r1", Ending.TURNED_AWAY, note(Role.REPLICA, checked.nowMs - 700));
+        assertThat(checked.sends(read)).startsWith("r1");
+        assertThat(checked.sends(checked.ask(FakeHost.VIEW))).containsExactly("p");
+    }
+
+    @Test
+    void aWriteTurnedAwayMarksThatMemberNotPrimaryAndWaitsForProbes() {
+        OpId write = host.ask(FakeHost.SUBMIT);
+        host.ends(write, 0, "p", Ending.TURNED_AWAY, null);
+        assertThat(host.sends(write)).hasSize(1);
+        host.nowMs += 400;
+        host.probed("r2", Role.PRIMARY, host.nowMs);
+        assertThat(host.sends(write)).containsExactly("p", "r2");
+    }
+
+    @Test
+    void anOldReportDoesNotBringBackAStalePrimary() {
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        host.nowMs += 100;
+        host.probed("p", Role.PRIMARY, host.nowMs - 200);
+        assertThat(host.sends(host.ask(FakeHost.SUBMIT))).isEmpty();
+    }
+
+    @Test
+    void aNonRetryableWriteThatMayHaveRunGetsAnErrorAndNoSecondSend() {
+        OpId write = host.ask(FakeHost.SUBMIT);
+        host.ends(write, 0, "p", Ending.ERRORED, null);
+        assertThat(host.sends(write)).hasSize(1);
+        assertThat(host.errorReplies(write)).isEqualTo(1);
+        assertThat(host.busyReplies(write)).isZero();
+    }
+
+    @Test
+    void aWriteProvenNotRunIsSentAgain() {
+        OpId write = host.ask(FakeHost.SUBMIT);
+        host.ends(write, 0, "p", Ending.FULL, null);
+        assertThat(host.sends(write)).containsExactly("p", "p");
+    }
+
+    @Test
+    void aTokenedWriteIsRepeatedInItsWindowAndErroredAfterIt() {
+        OpId write = host.ask(FakeHost.TOKENED);
+        host.ends(write, 0, "p", Ending.ERRORED, null);
+        assertThat(host.sends(write)).containsExactly("p", "p");
+        host.nowMs += 2000;
+        host.ends(write, 1, "p", Ending.ERRORED, null);
+        assertThat(host.sends(write)).hasSize(2);
+        assertThat(host.errorReplies(write)).isEqualTo(1);
+    }
+
+    @Test
+    void aHeldWriteIsAnsweredBeforeItsTimeoutWhenNoPrimaryComes() {
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        OpId write = host.ask(FakeHost.SUBMIT);
+        host.pass(2900);
+        assertThat(host.busyReplies(write)).isZero();
+        host.pass(100);
+        assertThat(host.busyReplies(write)).isEqualTo(1);
+        assertThat(host.sends(write)).isEmpty();
+    }
+
+    @Test
+    void nothingNewGoesToADrainingOrRemovedServer() {
+        host.listed("r1", Stage.DRAINING, 0);
+        host.listed("r2", Stage.GONE, 0);
+        host.listed("p", Stage.DRAINING, 0);
+        assertThat(host.sends(host.ask(FakeHost.HISTORY))).isEmpty();
+        assertThat(host.sends(host.ask(FakeHost.SUBMIT))).isEmpty();
+    }
+
+    @Test
+    void whereRemovalDoesNotBindAServerGoneWithoutDrainingIsStillUsed() {
+        FakeHost loose = new FakeHost(CopyKeeping.Checks.NONE, false, false, 1);
+        loose.list(true, "r1");
+        loose.probed("r1", Role.REPLICA, loose.nowMs);
+        loose.listed("r1", Stage.GONE, 0);
+        assertThat(loose.sends(loose.ask(FakeHost.VIEW))).containsExactly("r1");
+    }
+
+    @Test
+    void aSilentReplicaLosesItsReadsToAnotherAndReturnsByATrial() {
+        OpId read = host.ask(FakeHost.VIEW);
+        String first = host.sends(read).get(0);
+        String other = first.equals("r1") ? "r2" : "r1";
+        host.unanswered(first);
+        host.unanswered(first);
+        assertThat(host.calledOff(read)).isTrue();
+        host.ends(read, 0, first, Ending.CALLED_OFF, null);
+        assertThat(host.sends(read)).containsExactly(first, other);
+        host.nowMs += 3000;
+        host.probed(first, Role.REPLICA, host.nowMs);
+        assertThat(host.logged("SILENT to TRIAL")).isTrue();
+        host.ask(FakeHost.VIEW);
+        host.ask(FakeHost.VIEW);
+        assertThat(host.acts.stream().filter(a -> a instanceof ploverdale.model.Action.Send s
+                && s.server().text().equals(first)).count()).isLessThanOrEqualTo(2);
+    }
+
+    @Test
+    void aServerWithoutTheAnswersItShouldHaveGivenIsSilent() {
+        for (int i = 0; i < 8; i++) {
+            host.ask(FakeHost.HISTORY);
+        }
+        host.pass(600);
+        assertThat(host.logged("to SILENT: quiet")).isTrue();
+    }
+
+    @Test
+    void aReplicaThatFailsFastIsLeftOut() {
+        for (int i = 0; i < 12; i++) {
+            OpId read = host.ask(FakeHost.HISTORY);
+            for (int s = 0; s < host.sends(read).size() && s < 4; s++) {
+                boolean bad = host.sends(read).get(s).equals("r1");
+                host.ends(read, s, host.sends(read).get(s), bad ? Ending.ERRORED : Ending.ACKED, null);
+            }
+        }
+        assertThat(host.logged("server r1 WELL to FAILING")).isTrue();
+        assertThat(host.sends(host.ask(FakeHost.HISTORY))).containsExactly("r2");
+    }
+
+    @Test
+    void aColdServerGetsLittleUntilItHasWarmed() {
+        host.listed("r1", Stage.IN, host.nowMs);
+        int cold = 0;
+        for (int i = 0; i < 12; i++) {
+            cold += host.sends(host.ask(FakeHost.HISTORY)).contains("r1") ? 1 : 0;
+        }
+        assertThat(cold).isLessThanOrEqualTo(4);
+    }
+
+    @Test
+    void sessionReadsFollowTheWritesAcknowledgedHere() {
+        OpId write = host.ask(FakeHost.SUBMIT, "s", 0);
+        host.nowMs += 100;
+        host.ends(write, 0, "p", Ending.ACKED, note(Role.PRIMARY, host.nowMs));
+        assertThat(host.sends(host.ask(FakeHost.SESSION, "s", 0))).containsExactly("p");
+        assertThat(host.sends(host.ask(FakeHost.SESSION, "other", 0))).isSubsetOf("r1", "r2").hasSize(1);
+        host.probed("r1", Role.REPLICA, host.nowMs + 1);
+        assertThat(host.sends(host.ask(FakeHost.SESSION, "s", 0))).containsExactly("r1");
+    }
+
+    @Test
+    void aCarriedTokenSetsTheBoundAndAZeroTokenAdmitsAnyReplica() {
+        FakeHost carried = new FakeHost(CopyKeeping.Checks.NONE, true, true, 1);
+        carried.list(true, "p", "r1");
+        carried.levelled("p", "r1");
+        carried.nowMs += 100;
+        assertThat(carried.sends(carried.ask(FakeHost.SESSION, "s", 50))).containsExactly("p");
+        assertThat(carried.sends(carried.ask(FakeHost.SESSION, "s", 0))).containsExactly("r1");
+        assertThat(carried.sends(carried.ask(FakeHost.SESSION, "s", 200))).containsExactly("r1");
+    }
+
+    @Test
+    void aFreshReadGoesToThePrimary() {
+        assertThat(host.sends(host.ask(FakeHost.FRESH))).containsExactly("p");
+    }
+
+    @Test
+    void nothingIsSentForAnOpWhoseClientHasLeft() {
+        OpId read = host.ask(FakeHost.VIEW);
+        String server = host.sends(read).get(0);
+        host.tell(new Happening.ClientLeft(read));
+        assertThat(host.calledOff(read)).isTrue();
+        host.ends(read, 0, server, Ending.CALLED_OFF, null);
+        assertThat(host.sends(read)).hasSize(1);
+        assertThat(host.busyReplies(read) + host.errorReplies(read)).isZero();
+    }
+
+    @Test
+    void sameEventsGiveSameActions() {
+        List<FakeHost> twins = List.of(FakeHost.settled(), FakeHost.settled());
+        for (FakeHost twin : twins) {
+            for (int i = 0; i < 20; i++) {
+                twin.ask(i % 6);
+            }
+            twin.pass(500);
+        }
+        assertThat(twins.get(0).acts).hasSizeGreaterThan(20).isEqualTo(twins.get(1).acts);
+    }
+}
