Divide the first limit of sends out by the told number of gateways; date primary reports

Cause: at a start with twenty gateways each sent twelve ops to one server before any answer told of load. A primary's report is dated by its position, so an old one cannot revive a lost role. Also guards restarts of a gateway under load. Could harm a single busy gateway that was told of many idle ones for some seconds.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -112,7 +112,7 @@
             boolean fresh = m == null;
             if (fresh) {
                 m = new Member(l.server());
-                m.limit = FIRST_LIMIT;
+                m.limit = Math.max(LEAST_LIMIT, FIRST_LIMIT / gateways);
                 members.put(m.id, m);
                 m.group = l.group();
                 groups.computeIfAbsent(m.group, Group::new).members.add(m);
@@ -406,7 +406,7 @@
         }
         Op op = m.out.remove(e.op());
         learnRole(m, e.note(), now);
-        learnRole(m, e.report(), now - REPORT_AGE);
+        learnReport(m, e.report());
         if (op != null) {
             learnHealth(m, op, e);
         }
@@ -517,13 +517,19 @@
             return;
         }
         m.probeFailures = 0;
-        learnRole(m, e.report(), now - REPORT_AGE);
+        learnReport(m, e.report());
         if (m.trust == Trust.SILENT && now >= m.retryAt) {
             returns(m, "answers probes");
         }
         release(groups.get(m.group));
     }
 
+    /** Guards against old reports that revive a lost role: a primary's position tells when it said so. */
+    private void learnReport(Member m, Telling t) {
+        boolean dated = t != null && t.role() == Role.PRIMARY && t.position() != Telling.UNTOLD;
+        learnRole(m, t, dated ? t.position() : now - REPORT_AGE);
+    }
+
     /** Newest word wins; a position never goes back. */
     private void learnRole(Member m, Telling t, long toldAt) {
         if (t == null) {
@@ -751,7 +757,7 @@
     private static final long STRETCH_FADES_IN = 5000 * MS;
     private static final double PRESSURE_WANTED = 0.45;
     private static final double LIMIT_STEP = 0.2;
-    private static final double FIRST_LIMIT = 12;
+    private static final double FIRST_LIMIT = 24;
     private static final double LEAST_LIMIT = 2;
     private static final double GATE = 1.8;
     private static final double PRIMARY_READ_SHARE = 0.7;
