Where replicas check reads, budget probes per op and trust levelness for four seconds

Exception: where replicas check reads themselves, probes are budgeted per op taken, and a replica level when last heard may go first when none is known fresh. Also guards against any fleet whose gateways outnumber its traffic. Could harm where lag comes and goes within seconds: each such read costs one turn-away.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -44,6 +44,7 @@
     private double[] shareLeft;
     private long sharesAt;
     private double resendsLeft = RESENDS_MOST;
+    private double probesLeft;
     private long askListAt = Long.MAX_VALUE;
 
     private long now;
@@ -157,6 +158,7 @@
         op.beyondShare = beyondShare(a.tenant().index());
         ops.put(a.op(), op);
         resendsLeft = Math.min(RESENDS_MOST, resendsLeft + RESENDS_PER_OP);
+        probesLeft = Math.min(PROBES_MOST, probesLeft + PROBES_PER_OP);
         place(op);
     }
 
@@ -319,8 +321,8 @@
 
     /** Where replicas check reads, one that lags a little may go first, until it turns one away. */
     private boolean lagsALittle(Member m, Op op) {
-        return m.turnedAwayAt < m.positionToldAt && m != op.at
-                && admits(m, op, copies.checkWait() + probeEvery);
+        return m.turnedAwayAt < m.positionToldAt && m != op.at && now - m.positionToldAt < LEVEL_HOLDS
+                && m.positionToldAt - m.position <= op.type.stalenessBound();
     }
 
     private boolean nearUsual(Member p) {
@@ -511,7 +513,7 @@
         m.probeOut = false;
         if (!e.answered()) {
             m.probeFailures++;
-            if (m.probeFailures >= PROBES_TO_SILENCE) {
+            if (m.probeFailures >= PROBES_TO_SILENCE && now - m.answeredAt > SILENCE_LEAST) {
                 silent(m, "probes unanswered " + m.probeFailures);
             }
             return;
@@ -566,6 +568,7 @@
             out.add(new Action.FollowList());
             askListAt = Long.MAX_VALUE;
         }
+        List<Member> due = new ArrayList<>();
         for (Member m : members.values()) {
             if (m.trust != Trust.SILENT) {
                 lookForSilence(m);
@@ -575,6 +578,14 @@
             }
             long last = Math.max(m.probedAt, m.trust == Trust.SILENT ? Telling.UNTOLD : m.positionToldAt);
             if (isIn(m) && now - last >= probeInterval(m)) {
+                due.add(m);
+            }
+        }
+        due.sort(Comparator.comparingLong(m -> Math.max(m.probedAt, m.positionToldAt)));
+        for (Member m : due) {
+            boolean budgeted = copies.checks() != CopyKeeping.Checks.NONE;
+            if (!budgeted || probesLeft >= 1) {
+                probesLeft -= budgeted ? 1 : 0;
                 probe(m);
             }
         }
@@ -738,6 +749,9 @@
     private static final double PROBE_SHARE_OF_BOUND = 1 / 3.0;
     private static final long PROBE_EVERY_UNBOUND = 1000 * MS;
     private static final long PROBE_EVERY_SEARCHING = 150 * MS;
+    private static final double PROBES_PER_OP = 0.2;
+    private static final double PROBES_MOST = 20;
+    private static final long LEVEL_HOLDS = 4000 * MS;
     /** A report may be this old when it comes. */
     private static final long REPORT_AGE = 300 * MS;
     private static final int PROBES_TO_SILENCE = 2;
