Put reads longer than the tightest bound on the same few replicas at every gateway

Told from lag by load: the positions stood still on lightly loaded replicas. Also guards any long scan that crowds a replica. Could harm if the low-ranked replicas are much weaker.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -32,6 +32,7 @@
     private Pledges pledges;
     private Permits permits;
     private CopyKeeping copies;
+    private long tightestBound = Long.MAX_VALUE;
     private long probeEvery;
 
     private final Map<ServerId, Member> members = new LinkedHashMap<>();
@@ -89,6 +90,7 @@
         for (OpType t : opTypes) {
             paces.add(new Pace(t.latencyTarget() * FIRST_GUESS));
             if (t.needs() == Needs.BOUNDED) {
+                tightestBound = Math.min(tightestBound, t.stalenessBound());
                 probeEvery = Math.min(probeEvery, (long) (t.stalenessBound() * PROBE_SHARE_OF_BOUND));
             }
         }
@@ -330,11 +332,25 @@
                 && stretchNow(p) <= GATE * Math.max(1, p.usualStretch);
     }
 
+    /**
+     * Guards against reads longer than the tightest bound, which may stop a replica's apply: all gateways put
+     * them on the same few replicas, so that the others stay fresh enough for bounded reads.
+     */
     private double cost(Member m, Op op) {
         double again = m == op.at ? AGAIN_COST : 1;
+        if (op.type.needs() == Needs.UNBOUNDED && paceOf(op).usual > tightestBound) {
+            again *= Math.pow(LONG_READ_RANK_COST, rank(m));
+        }
         return again * stretchNow(m) * (m.out.size() + 1) / warmth(m) * (1 + 0.1 * chance.nextDouble());
     }
 
+    /** Place among the group's replicas by id, which is the same at every gateway. */
+    private long rank(Member m) {
+        Group g = groups.get(m.group);
+        return g.members.stream().filter(o -> o != g.primary && isIn(o) && o.trust == Trust.WELL
+                && o.id.text().compareTo(m.id.text()) < 0).count();
+    }
+
     private static boolean isIn(Member m) {
         return m.stage == Listing.Stage.IN;
     }
@@ -776,6 +792,7 @@
     private static final double GATE = 1.8;
     private static final double PRIMARY_READ_SHARE = 0.7;
     private static final double AGAIN_COST = 4;
+    private static final double LONG_READ_RANK_COST = 3;
     private static final double COLD_SHARE = 0.5;
     private static final double COLD_SINGLE = 0.1;
     private static final double WORTH_SENDING = 0.5;
