Return a silent server by a trial when only its probes are answered

Also guards against processes that run but are cut from their disk. Could harm after short pauses by some trials.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -537,7 +537,7 @@
         m.probeFailures = 0;
         learnReport(m, e.report());
         if (m.trust == Trust.SILENT && now >= m.retryAt) {
-            returns(m, "answers probes");
+            returns(m, false, "answers probes");
         }
         release(groups.get(m.group));
     }
@@ -634,7 +634,7 @@
             m.answeredAt = now;
             m.deadSigns = 0;
             if (m.trust == Trust.SILENT) {
-                returns(m, "answers");
+                returns(m, true, "answers");
             }
         }
         switch (ending) {
@@ -723,11 +723,13 @@
         }
     }
 
-    private void returns(Member m, String why) {
+    private void returns(Member m, boolean byAnswer, String why) {
         long away = now - m.trustSince;
         // Guards against a restart that the list has not told yet: long away counts as freshly started.
+        // A probe alone proves no more than that the process runs, so it brings a trial and not more.
+        boolean well = byAnswer && away < BRIEF;
         m.coldSince = away < BRIEF ? m.coldSince : now;
-        trust(m, away < BRIEF ? Trust.WELL : Trust.TRIAL, why + " after " + away / MS + " ms");
+        trust(m, well ? Trust.WELL : Trust.TRIAL, why + " after " + away / MS + " ms");
     }
 
     /** Guards against servers that fail fast and so draw traffic; never leaves the group with too few. */
