--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -791,7 +791,7 @@
     private static final double LIMIT_STEP = 0.2;
     private static final double FIRST_LIMIT = 24;
     private static final double LEAST_LIMIT = 2;
-    private static final double GATE = 1.8;
+    private static final double GATE = 2.5;
     private static final double PRIMARY_READ_SHARE = 0.7;
     private static final double AGAIN_COST = 4;
     private static final double LONG_READ_RANK_COST = 3;
