--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -798,7 +798,7 @@
     private static final double COLD_SHARE = 0.5;
     private static final double COLD_SINGLE = 0.1;
     private static final double WORTH_SENDING = 0.5;
-    private static final double HOPELESS = 1.2;
+    private static final double HOPELESS = 2.5;
     private static final double RESENDS_PER_OP = 0.25;
     private static final double RESENDS_MOST = 40;
     private static final int SESSIONS_MOST = 50_000;
