Aim the limit of sends out at a mean latency of 0.35 of the target

Cause: work varies as much as its mean, so the tail is late long before the mean is. Harm: a little room left on types of even work.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -787,7 +787,7 @@
     private static final double STRETCH_WEIGHT = 0.1;
     private static final double STRETCH_MOST = 8;
     private static final long STRETCH_FADES_IN = 5000 * MS;
-    private static final double PRESSURE_WANTED = 0.45;
+    private static final double PRESSURE_WANTED = 0.35;
     private static final double LIMIT_STEP = 0.2;
     private static final double FIRST_LIMIT = 24;
     private static final double LEAST_LIMIT = 2;
