--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -20,10 +20,12 @@
  */
 public final class Logic {
     private static final long MS = 10;
-    /** The gateway looks round this often while it runs; short beside every latency target. */
-    private static final long BEAT = 20 * MS;
-    /** Answers come this long before a limit, so that one tick of delay does not make them late. */
-    private static final long MARGIN = 10 * MS;
+    private static final long BEAT = 20 * MS; // looks round this often; short beside any latency target
+    private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
+    private static final double FIRST_GUESS = 0.2; // of the target, as usual latency until answers tell
+    private static final double FIRST_LIMIT = 24; // sends out a server, over all gateways, until answers tell
+    private static final double LEAST_LIMIT = 2; // sends out; at 1 a lost answer would stop the flow
+    private static final int SESSIONS_MOST = 50_000; // some megabytes
 
     private RandomGenerator chance;
     private int gateways;
@@ -109,9 +111,6 @@
         List<Member> missing = new ArrayList<>(told.whole() ? members.values() : List.of());
         for (Listing l : told.listings()) {
             Member m = members.get(l.server());
-            if (m == null && l.stage() == Listing.Stage.GONE) {
-                continue;
-            }
             boolean fresh = m == null;
             if (fresh) {
                 m = new Member(l.server());
@@ -122,8 +121,11 @@
             }
             missing.remove(m);
             m.zone = l.zone();
-            m.listedPrimary = l.primary();
             stage(m, l.stage());
+            Group g = groups.get(m.group);
+            if (l.primary() && g.primary == null && m.role == Role.UNKNOWN && isIn(m)) {
+                g.primary = m; // a hint, until the member itself is heard
+            }
             if (l.startedAt() > m.startedAt) {
                 m.startedAt = l.startedAt();
                 if (l.startedAt() + pledges.warmWithin() > now) {
@@ -208,6 +210,14 @@
 
     // -- Where an op goes: role, freshness, drain/cold/health, spread, worth sending
 
+    private static final double WORTH_SENDING = 0.5; // of usual latency must be left; many ops are shorter
+    private static final double HOPELESS = 2.5; // usual latencies left when a held op gives up; 1.2 timed out
+    private static final long LEVEL_HOLDS = 4000 * MS; // a replica heard level may go first this long
+    private static final double GATE = 2.5; // times usual latency at which the primary takes no reads
+    private static final double PRIMARY_READ_SHARE = 0.7; // of the primary's limit; the rest is for writes
+    private static final double AGAIN_COST = 4; // a second send prefers any server but the first
+    private static final double LONG_READ_RANK_COST = 3; // three out on one replica before the next gets one
+
     private record Choice(Member to, boolean hold) {
         static final Choice HOLD = new Choice(null, true);
         static final Choice NONE = new Choice(null, false);
@@ -221,14 +231,10 @@
             c = Choice.NONE;
         }
         if (c.to == null && c.hold && now < holdUntil(op)) {
-            if (!op.held) {
-                op.held = true;
-                g.held.add(op);
-            }
+            g.held.add(op);
             return false;
         }
         g.held.remove(op);
-        op.held = false;
         if (c.to != null) {
             send(op, c.to);
         } else {
@@ -238,13 +244,8 @@
     }
 
     private boolean mayStillSend(Op op) {
-        if (op.sends >= permits.sendsPerOp()) {
-            return false;
-        }
-        if (!op.mayHaveRun || op.type.repeats() == Repeats.RETRYABLE) {
-            return true;
-        }
-        return op.type.repeats() == Repeats.TOKENED && now < repeatsEnd(op);
+        return op.sends < permits.sendsPerOp() && (!op.mayHaveRun || op.type.repeats() == Repeats.RETRYABLE
+                || op.type.repeats() == Repeats.TOKENED && now < repeatsEnd(op));
     }
 
     private static long repeatsEnd(Op op) {
@@ -276,18 +277,16 @@
     }
 
     private Choice memberFor(Op op, Group g) {
-        Member best = spread(op, g, m -> admits(m, op, 0));
+        Member best = spread(op, g, m -> admits(m, op));
         if (best == null && copies.checks() != CopyKeeping.Checks.NONE) {
             best = spread(op, g, m -> lagsALittle(m, op));
         }
         if (best != null) {
             return new Choice(best, false);
         }
-        for (Member m : g.members) {
-            if (m != g.primary && isIn(m) && (m.trust == Trust.WELL && admits(m, op, 0)
-                    || m.probeOut && m.role == Role.UNKNOWN)) {
-                return Choice.HOLD;
-            }
+        if (g.members.stream().anyMatch(m -> m != g.primary && isIn(m)
+                && (m.trust == Trust.WELL && admits(m, op) || m.probeOut && m.role == Role.UNKNOWN))) {
+            return Choice.HOLD;
         }
         Member p = g.primary;
         return p != null && isIn(p) && p.trust == Trust.WELL && coldAllows(p, op) && nearUsual(p)
@@ -312,11 +311,11 @@
     }
 
     /** The filter: a replica answers only when its last known position fits; unknown is too stale. */
-    private boolean admits(Member m, Op op, long slack) {
+    private boolean admits(Member m, Op op) {
         return switch (op.type.needs()) {
             case UNBOUNDED -> true;
-            case BOUNDED -> now - m.position <= op.type.stalenessBound() + slack;
-            case SESSION -> m.position + slack >= op.needPosition;
+            case BOUNDED -> now - m.position <= op.type.stalenessBound();
+            case SESSION -> m.position >= op.needPosition;
             default -> false;
         };
     }
@@ -361,6 +360,9 @@
 
     // -- Cold servers
 
+    private static final double COLD_SHARE = 0.5; // of the told multiple; the rest is for chance and repeats
+    private static final double COLD_SINGLE = 0.1; // of the told window; shorter ops may go one by one
+
     private double warmth(Member m) {
         double share = Math.max(0, (now - m.coldSince) / (double) Math.max(1, pledges.warmWithin()));
         return Math.min(1, pledges.startCapacity() + (1 - pledges.startCapacity()) * share);
@@ -376,26 +378,13 @@
             return true;
         }
         double work = paceOf(op).usual;
-        double peers = peerWork(groups.get(m.group).members, m);
-        if (peers < 0) {
-            peers = peerWork(members.values(), m);
-        }
+        double peers = members.values().stream()
+                .filter(p -> p != m && isIn(p) && p.trust == Trust.WELL && warmth(p) >= 1)
+                .mapToDouble(this::sentWork).average().orElse(0);
         return sentWork(m) + work <= COLD_SHARE * pledges.overloadMultiple() * warmth * peers
                 || m.out.isEmpty() && work < pledges.overloadWindow() * COLD_SINGLE;
     }
 
-    private double peerWork(Iterable<Member> peers, Member but) {
-        double sum = 0;
-        int count = 0;
-        for (Member p : peers) {
-            if (p != but && isIn(p) && p.trust == Trust.WELL && warmth(p) >= 1) {
-                sum += sentWork(p);
-                count++;
-            }
-        }
-        return count == 0 ? -1 : sum / count;
-    }
-
     /** Work sent in about the last window of the cold rule. */
     private double sentWork(Member m) {
         m.sentWork *= Math.exp(-(now - m.sentWorkAt) / (double) Math.max(MS, pledges.overloadWindow()));
@@ -405,6 +394,9 @@
 
     // -- Sends and their ends
 
+    private static final double RESENDS_PER_OP = 0.25; // budget of further sends; a storm is several an op
+    private static final double RESENDS_MOST = 40; // about what one server holds when it falls silent
+
     private void send(Op op, Member m) {
         long until = op.type.repeats() == Repeats.RETRYABLE ? worthUntil(op) : op.asked.timeoutAt();
         out.add(new Action.Send(op.asked.op(), m.id, Math.max(1, until - now)));
@@ -452,12 +444,12 @@
             op.firstMaybeServer = m;
         }
         boolean wrongRole = ending == Ending.TURNED_AWAY && op.type.needs() == Needs.WRITE;
-        if (!wrongRole && resendsLeft < 1) {
+        if (wrongRole || resendsLeft >= 1) {
+            resendsLeft -= wrongRole ? 0 : 1;
+            place(op);
+        } else {
             finish(op); // guards against storms: repeats stay a small part of all sends
-            return;
         }
-        resendsLeft -= wrongRole ? 0 : 1;
-        place(op);
     }
 
     private void finish(Op op) {
@@ -488,7 +480,7 @@
 
     /** Gives freed room to the ops with the most value per work, newest first. */
     private void release(Group g) {
-        if (g == null || g.held.isEmpty()) {
+        if (g.held.isEmpty()) {
             return;
         }
         List<Op> order = new ArrayList<>(g.held);
@@ -513,6 +505,13 @@
 
     // -- Roles, positions, probes
 
+    private static final double PROBE_SHARE_OF_BOUND = 1 / 3.0; // the design's starting value
+    private static final long PROBE_EVERY_UNBOUND = 1000 * MS; // where no read has a bound; roles only
+    private static final long PROBE_EVERY_SEARCHING = 150 * MS; // a takeover lasts seconds
+    private static final double PROBES_PER_OP = 0.2; // where replicas check; more cost more than turn-aways
+    private static final double PROBES_MOST = 20; // a start's first round
+    private static final long REPORT_AGE = 300 * MS; // reports may be this old when they come
+
     private void probe(Member m) {
         if (permits.probes() && !m.probeOut) {
             m.probeOut = true;
@@ -528,13 +527,12 @@
         }
         m.probeOut = false;
         if (!e.answered()) {
-            m.probeFailures++;
-            if (m.probeFailures >= PROBES_TO_SILENCE && now - m.answeredAt > SILENCE_LEAST) {
-                silent(m, "probes unanswered " + m.probeFailures);
+            if (now - m.answeredAt > SILENCE_LEAST) {
+                deadSign(m, "probes unanswered");
             }
             return;
         }
-        m.probeFailures = 0;
+        m.deadSigns = 0;
         learnReport(m, e.report());
         if (m.trust == Trust.SILENT && now >= m.retryAt) {
             returns(m, false, "answers probes");
@@ -554,7 +552,7 @@
             return;
         }
         if (t.position() != Telling.UNTOLD) {
-            m.position = Math.max(m.position, t.position());
+            m.position = Math.max(m.position, t.position() - MS); // a write's commit is rounded up
             m.positionToldAt = now;
         }
         if (t.role() == Role.UNKNOWN || toldAt < m.roleToldAt) {
@@ -599,21 +597,12 @@
         }
         due.sort(Comparator.comparingLong(m -> Math.max(m.probedAt, m.positionToldAt)));
         for (Member m : due) {
-            boolean budgeted = copies.checks() != CopyKeeping.Checks.NONE;
-            if (!budgeted || probesLeft >= 1) {
-                probesLeft -= budgeted ? 1 : 0;
+            if (copies.checks() == CopyKeeping.Checks.NONE || probesLeft >= 1) {
+                probesLeft--;
                 probe(m);
             }
         }
-        for (Group g : groups.values()) {
-            for (Member m : g.members) {
-                if (g.primary == null && m.role == Role.UNKNOWN && m.listedPrimary && isIn(m)
-                        && m.trust == Trust.WELL) {
-                    g.primary = m; // the list's word, until the member itself is heard
-                }
-            }
-            release(g);
-        }
+        groups.values().forEach(this::release);
     }
 
     private long probeInterval(Member m) {
@@ -624,12 +613,26 @@
 
     // -- Health
 
+    private static final int DEAD_SIGNS = 2; // lost connections or probes in a row; one may be chance
+    private static final long SILENCE_LEAST = 250 * MS; // longer than short stalls
+    private static final double ANSWERS_MISSED = 8; // by chance once in thousands of times
+    private static final long PENALTY_FIRST = 300 * MS; // doubled at each failed trial
+    private static final long PENALTY_MOST = 8000 * MS;
+    private static final long BRIEF = 1500 * MS; // away for less is no restart
+    private static final int TRIALS = 3; // good answers in a row before full trust
+    private static final double FAIL_WEIGHT = 0.15; // of the newest result; three failures in a row count
+    private static final double FAIL_SHARE = 0.35; // of failures, beyond which a server is left out
+    private static final long USUAL_RISES_IN = 60_000 * MS; // slow, so that trouble does not become usual
+    private static final double STRETCH_WEIGHT = 0.1; // of the newest latency; work varies as its mean
+    private static final double STRETCH_MOST = 8; // one answer counts for no more
+    private static final long STRETCH_FADES_IN = 5000 * MS; // then a slow server is tried again
+    private static final double PRESSURE_WANTED = 0.35; // mean latency as part of the target; tails are long
+    private static final double LIMIT_STEP = 0.2; // an answer; the limit moves by a fifth in a round trip
+
     private void learnHealth(Member m, Op op, Happening.SendEnded e) {
         Ending ending = e.ending();
         if (ending == Ending.NOT_CONNECTED || ending == Ending.BROKEN_OFF) {
-            if (++m.deadSigns >= DEAD_SIGNS) {
-                silent(m, "connections lost " + m.deadSigns);
-            }
+            deadSign(m, "connections lost");
         } else if (ending != Ending.TIMED_OUT && ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT) {
             m.answeredAt = now;
             m.deadSigns = 0;
@@ -694,32 +697,27 @@
 
     /** Guards against dead, hung and cut-off servers alike: far fewer answers than the sends should bring. */
     private void lookForSilence(Member m) {
-        if (m.out.isEmpty()) {
-            return;
-        }
-        long oldest = m.out.values().iterator().next().sentAt;
+        long oldest = m.out.isEmpty() ? now : m.out.values().iterator().next().sentAt;
         long quiet = now - Math.max(m.answeredAt, oldest);
-        if (quiet < SILENCE_LEAST) {
-            return;
-        }
         double missing = 0;
         for (Op op : m.out.values()) {
             missing += Math.min(quiet, now - op.sentAt) / (paceOf(op).usual * Math.max(1, m.stretch));
         }
-        if (missing > ANSWERS_MISSED) {
+        if (quiet >= SILENCE_LEAST && missing > ANSWERS_MISSED) {
             silent(m, "quiet " + quiet / MS + " ms with " + m.out.size() + " out");
         }
     }
 
-    private void silent(Member m, String why) {
-        if (m.trust == Trust.SILENT) {
-            return;
+    private void deadSign(Member m, String what) {
+        if (++m.deadSigns >= DEAD_SIGNS) {
+            silent(m, what + " " + m.deadSigns);
         }
-        trust(m, Trust.SILENT, why);
-        for (Op op : List.copyOf(m.out.values())) {
-            if (op.type.repeats() == Repeats.RETRYABLE && ops.get(op.asked.op()) == op) {
-                callOff(op);
-            }
+    }
+
+    private void silent(Member m, String why) {
+        if (m.trust != Trust.SILENT) {
+            trust(m, Trust.SILENT, why);
+            m.out.values().stream().filter(o -> o.type.repeats() == Repeats.RETRYABLE).forEach(this::callOff);
         }
     }
 
@@ -727,22 +725,18 @@
         long away = now - m.trustSince;
         // Guards against a restart that the list has not told yet: long away counts as freshly started.
         // A probe alone proves no more than that the process runs, so it brings a trial and not more.
-        boolean well = byAnswer && away < BRIEF;
         m.coldSince = away < BRIEF ? m.coldSince : now;
-        trust(m, well ? Trust.WELL : Trust.TRIAL, why + " after " + away / MS + " ms");
+        trust(m, byAnswer && away < BRIEF ? Trust.WELL : Trust.TRIAL, why + " after " + away / MS + " ms");
     }
 
     /** Guards against servers that fail fast and so draw traffic; never leaves the group with too few. */
     private void failing(Member m) {
-        if (m.failShare < FAIL_SHARE || m.trust == Trust.SILENT || m.trust == Trust.FAILING) {
-            return;
-        }
         Group g = groups.get(m.group);
         long well = g.members.stream().filter(o -> o != m && isIn(o) && o.trust == Trust.WELL).count();
-        if (m == g.primary || well * 2 < g.members.size()) {
-            return;
+        if (m.failShare >= FAIL_SHARE && m != g.primary && well * 2 >= g.members.size()
+                && (m.trust == Trust.WELL || m.trust == Trust.TRIAL)) {
+            trust(m, Trust.FAILING, "fails " + Math.round(m.failShare * 100) + " %");
         }
-        trust(m, Trust.FAILING, "fails " + Math.round(m.failShare * 100) + " %");
     }
 
     private void trust(Member m, Trust to, String why) {
@@ -760,46 +754,4 @@
     private void log(String text) {
         out.add(new Action.LogLine(text));
     }
-
-    // -- Tuned values
-
-    /** Probes come this often, as a share of the tightest staleness bound; the design's starting value. */
-    private static final double PROBE_SHARE_OF_BOUND = 1 / 3.0;
-    private static final long PROBE_EVERY_UNBOUND = 1000 * MS;
-    private static final long PROBE_EVERY_SEARCHING = 150 * MS;
-    private static final double PROBES_PER_OP = 0.2;
-    private static final double PROBES_MOST = 20;
-    private static final long LEVEL_HOLDS = 4000 * MS;
-    /** A report may be this old when it comes. */
-    private static final long REPORT_AGE = 300 * MS;
-    private static final int PROBES_TO_SILENCE = 2;
-    private static final int DEAD_SIGNS = 2;
-    private static final long SILENCE_LEAST = 250 * MS;
-    private static final double ANSWERS_MISSED = 8;
-    private static final long PENALTY_FIRST = 300 * MS;
-    private static final long PENALTY_MOST = 8000 * MS;
-    private static final long BRIEF = 1500 * MS;
-    private static final int TRIALS = 3;
-    private static final double FAIL_WEIGHT = 0.15;
-    private static final double FAIL_SHARE = 0.35;
-    private static final double FIRST_GUESS = 0.2;
-    private static final long USUAL_RISES_IN = 60_000 * MS;
-    private static final double STRETCH_WEIGHT = 0.1;
-    private static final double STRETCH_MOST = 8;
-    private static final long STRETCH_FADES_IN = 5000 * MS;
-    private static final double PRESSURE_WANTED = 0.35;
-    private static final double LIMIT_STEP = 0.2;
-    private static final double FIRST_LIMIT = 24;
-    private static final double LEAST_LIMIT = 2;
-    private static final double GATE = 2.5;
-    private static final double PRIMARY_READ_SHARE = 0.7;
-    private static final double AGAIN_COST = 4;
-    private static final double LONG_READ_RANK_COST = 3;
-    private static final double COLD_SHARE = 0.5;
-    private static final double COLD_SINGLE = 0.1;
-    private static final double WORTH_SENDING = 0.5;
-    private static final double HOPELESS = 2.5;
-    private static final double RESENDS_PER_OP = 0.25;
-    private static final double RESENDS_MOST = 40;
-    private static final int SESSIONS_MOST = 50_000;
 }
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -19,7 +19,6 @@
     public ZoneId zone;
     public Listing.Stage stage = Listing.Stage.IN;
     public boolean drainSeen;
-    public boolean listedPrimary;
     public long startedAt;
 
     public Telling.Role role = Telling.Role.UNKNOWN;
@@ -30,7 +29,6 @@
 
     public long probedAt = Telling.UNTOLD;
     public boolean probeOut;
-    public int probeFailures;
 
     public Trust trust = Trust.WELL;
     public long trustSince;
--- a/src/main/java/ploverdale/state/Op.java
+++ b/src/main/java/ploverdale/state/Op.java
@@ -18,7 +18,6 @@
     public long sentAt;
     public boolean calledOff;
     public boolean begun;
-    public boolean held;
     public boolean mayHaveRun;
     public long firstMaybeAt;
     public Member firstMaybeServer;
