--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -284,13 +284,13 @@
         if (best != null) {
             return new Choice(best, false);
         }
-        if (g.members.stream().anyMatch(m -> m != g.primary && isIn(m)
-                && (m.trust == Trust.WELL && admits(m, op) || m.probeOut && m.role == Role.UNKNOWN))) {
-            return Choice.HOLD;
-        }
         Member p = g.primary;
-        return p != null && isIn(p) && p.trust == Trust.WELL && coldAllows(p, op) && nearUsual(p)
-                ? new Choice(p, false) : Choice.NONE;
+        if (p != null && isIn(p) && p.trust == Trust.WELL && coldAllows(p, op) && nearUsual(p)) {
+            return new Choice(p, false); // also while the admitted replicas are full
+        }
+        return g.members.stream().anyMatch(m -> m != p && isIn(m)
+                && (m.trust == Trust.WELL && admits(m, op) || m.probeOut && m.role == Role.UNKNOWN))
+                ? Choice.HOLD : Choice.NONE;
     }
 
     /** The cheapest trusted replica with room among those let in. */
