--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -49,6 +49,7 @@
     private long sharesAt;
     private double resendsLeft = RESENDS_MOST;
     private double probesLeft;
+    private double shedPrice;
     private long askListAt = Long.MAX_VALUE;
 
     private long now;
@@ -165,7 +166,11 @@
         ops.put(a.op(), op);
         resendsLeft = Math.min(RESENDS_MOST, resendsLeft + RESENDS_PER_OP);
         probesLeft = Math.min(PROBES_MOST, probesLeft + PROBES_PER_OP);
-        place(op);
+        if (longRead(op) && valuePerWork(op) < shedPrice) {
+            finish(op); // guards against long reads that age out replicas while worthier ops are refused
+        } else {
+            place(op);
+        }
     }
 
     /** A session's last write, as the position its reads must reach; others have none that stands still. */
@@ -213,6 +218,7 @@
     // -- Where an op goes: role, freshness, drain/cold/health, spread, worth sending
 
     private static final double WORTH_SENDING = 0.5; // of usual latency must be left; many ops are shorter
+    private static final double PRICE_WEIGHT = 0.02; // of the newest op in what refusals cost
     private static final double HOPELESS = 2.5; // usual latencies left when a held op gives up; 1.2 timed out
     private static final long LEVEL_HOLDS = 4000 * MS; // a replica heard level may go first this long
     private static final double GATE = 2.5; // times usual latency at which the primary takes no reads
@@ -235,8 +241,10 @@
         }
         g.held.remove(op);
         if (c.to != null && worthUntil(op) - now >= WORTH_SENDING * paceOf(op).usual * c.to.stretch) {
+            shedPrice -= op.sends == 0 ? PRICE_WEIGHT * shedPrice : 0;
             send(op, c.to);
         } else {
+            shedPrice += op.sends == 0 ? PRICE_WEIGHT * (valuePerWork(op) - shedPrice) : 0;
             finish(op);
         }
         return true;
@@ -334,12 +342,16 @@
     // them on the same few replicas, so that the others stay fresh enough for bounded reads.
     private double cost(Member m, Op op) {
         double again = m == op.at ? AGAIN_COST : 1;
-        if (op.type.needs() == Needs.UNBOUNDED && paceOf(op).usual > tightestBound) {
+        if (longRead(op)) {
             again *= Math.pow(LONG_READ_RANK_COST, rank(m));
         }
         return again * stretchNow(m) * (m.out.size() + 1) / warmth(m) * (1 + 0.1 * chance.nextDouble());
     }
 
+    private boolean longRead(Op op) {
+        return op.type.needs() == Needs.UNBOUNDED && paceOf(op).usual > tightestBound;
+    }
+
     /** Place among the group's replicas by id, which is the same at every gateway. */
     private long rank(Member m) {
         Group g = groups.get(m.group);
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -130,6 +130,23 @@
         assertThat(host.sends(host.ask(FakeHost.SCAN))).containsExactly("r1");
     }
 
+    @Test
+    void longReadsAreRefusedFirstWhileWorthierOpsFindNoRoom() {
+        for (int i = 0; i < 25; i++) {
+            OpId scan = host.ask(FakeHost.SCAN);
+            host.nowMs += 100;
+            host.tell(new Happening.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)), Ending.ACKED, 9000, true,
+                    null, null));
+        }
+        host.nowMs += 1000;
+        for (int i = 0; i < 60; i++) {
+            host.ask(FakeHost.VIEW);
+        }
+        OpId scan = host.ask(FakeHost.SCAN);
+        assertThat(host.sends(scan)).isEmpty();
+        assertThat(host.busyReplies(scan)).isEqualTo(1);
+    }
+
     @Test
     void aNonRetryableWriteThatMayHaveRunGetsAnErrorAndNoSecondSend() {
         OpId write = host.ask(FakeHost.SUBMIT);
