--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -175,13 +175,11 @@
 
     /** A session's last write, as the position its reads must reach; others have none that stands still. */
     private long needPosition(Happening.OpArrived a, OpType type) {
-        if (type.needs() != Needs.SESSION) {
+        if (type.needs() != Needs.SESSION || copies.tokensCarried() && a.tokenAge() == 0) {
             return Telling.UNTOLD;
         }
-        if (copies.tokensCarried()) {
-            return a.tokenAge() > 0 ? now - a.tokenAge() : Telling.UNTOLD;
-        }
-        return sessionWrites.getOrDefault(a.session(), forgottenWrites);
+        return copies.tokensCarried() ? now - a.tokenAge()
+                : sessionWrites.getOrDefault(a.session(), forgottenWrites);
     }
 
     /** Remembers a session's write; past the most kept, the oldest are folded into one floor for all. */
@@ -200,8 +198,8 @@
             return false;
         }
         for (int i = 0; i < shareLeft.length; i++) {
-            double refill = shareRate[i] * (now - sharesAt) / (1000.0 * MS);
-            shareLeft[i] = Math.min(shareRate[i], shareLeft[i] + refill);
+            double second = (now - sharesAt) / (1000.0 * MS);
+            shareLeft[i] = Math.min(shareRate[i], shareLeft[i] + shareRate[i] * second);
         }
         sharesAt = now;
         boolean beyond = shareLeft[tenant] < 1;
@@ -276,11 +274,8 @@
 
     private Choice primaryFor(Op op, Group g) {
         Member p = g.primary;
-        if (p == null || !isIn(p) || !knowsRepeat(op, p) || p.trust == Trust.SILENT) {
-            return Choice.HOLD;
-        }
-        return p.trust == Trust.TRIAL && !p.out.isEmpty() || !coldAllows(p, op) || p.out.size() >= p.limit
-                ? Choice.HOLD : new Choice(p, false);
+        return p != null && isIn(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, 1) && coldAllows(p, op)
+                ? new Choice(p, false) : Choice.HOLD;
     }
 
     private Choice memberFor(Op op, Group g) {
@@ -292,7 +287,8 @@
             return new Choice(best, false);
         }
         Member p = g.primary;
-        if (p != null && isIn(p) && p.trust == Trust.WELL && coldAllows(p, op) && nearUsual(p)) {
+        if (p != null && isIn(p) && p.trust == Trust.WELL && hasRoom(p, PRIMARY_READ_SHARE)
+                && stretchNow(p) <= GATE * Math.max(1, p.usualStretch) && coldAllows(p, op)) {
             return new Choice(p, false); // also while the admitted replicas are full
         }
         return g.members.stream().anyMatch(m -> m != p && isIn(m)
@@ -305,7 +301,7 @@
         Member best = null;
         double least = 0;
         for (Member m : g.members) {
-            if (m != g.primary && isIn(m) && trusted(m) && knowsRepeat(op, m) && m.out.size() < m.limit
+            if (m != g.primary && isIn(m) && trusted(m) && knowsRepeat(op, m) && hasRoom(m, 1)
                     && letIn.test(m) && coldAllows(m, op)) {
                 double cost = cost(m, op);
                 if (best == null || cost < least) {
@@ -333,9 +329,8 @@
                 && m.positionToldAt - m.position <= op.type.stalenessBound();
     }
 
-    private boolean nearUsual(Member p) {
-        return p.out.size() < p.limit * PRIMARY_READ_SHARE
-                && stretchNow(p) <= GATE * Math.max(1, p.usualStretch);
+    private static boolean hasRoom(Member m, double share) {
+        return m.out.size() < m.limit * share;
     }
 
     // Guards against reads longer than the tightest bound, which may stop a replica's apply: all gateways put
