Least limit of sends out between one and two, by the told number of gateways

Cause: with twenty gateways two sends each already fill a server; with two gateways one send each starves it. Also guards fleets whose gateways are many and idle. Could harm one busy gateway among many idle ones until its own limit has grown.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -24,12 +24,14 @@
     private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
     private static final double FIRST_GUESS = 0.2; // of the target, as usual latency until answers tell
     private static final double FIRST_LIMIT = 24; // sends out a server, over all gateways, until answers tell
-    private static final double LEAST_LIMIT = 2; // sends out; at 1 a lost answer would stop the flow
+    private static final double LEAST_LIMIT = 8; // the same, at the least; one a gateway if they are many
+    private static final double LEAST_LIMIT_MOST = 2; // a gateway; four crowded lagging groups
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
     private static final int SESSIONS_MOST = 50_000; // some megabytes
 
     private RandomGenerator chance;
-    private int gateways;
+    private double firstLimit;
+    private double leastLimit;
     private List<OpType> opTypes;
     private double beyondShareValue;
     private Pledges pledges;
@@ -81,7 +83,9 @@
 
     private void started(Happening.Started s) {
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(s.seed());
-        gateways = Math.max(1, s.gateways());
+        int gateways = Math.max(1, s.gateways());
+        leastLimit = Math.min(LEAST_LIMIT_MOST, Math.max(1, LEAST_LIMIT / gateways));
+        firstLimit = Math.max(leastLimit, FIRST_LIMIT / gateways);
         opTypes = s.opTypes();
         beyondShareValue = s.beyondShareValue();
         pledges = s.pledges();
@@ -116,7 +120,7 @@
             boolean fresh = m == null;
             if (fresh) {
                 m = new Member(l.server());
-                m.limit = Math.max(LEAST_LIMIT, FIRST_LIMIT / gateways);
+                m.limit = firstLimit;
                 members.put(m.id, m);
                 m.group = l.group();
                 groups.computeIfAbsent(m.group, Group::new).members.add(m);
@@ -166,11 +170,7 @@
         ops.put(a.op(), op);
         resendsLeft = Math.min(RESENDS_MOST, resendsLeft + RESENDS_PER_OP);
         probesLeft = Math.min(PROBES_MOST, probesLeft + PROBES_PER_OP);
-        if (longRead(op) && valuePerWork(op) < shedPrice) {
-            finish(op); // guards against long reads that age out replicas while worthier ops are refused
-        } else {
-            place(op);
-        }
+        place(op);
     }
 
     /** A session's last write, as the position its reads must reach; others have none that stands still. */
@@ -232,7 +232,9 @@
     private boolean place(Op op) {
         Group g = groups.computeIfAbsent(op.asked.group(), Group::new);
         boolean toPrimary = op.type.needs() == Needs.WRITE || op.type.needs() == Needs.FRESH;
-        Choice c = mayStillSend(op) ? toPrimary ? primaryFor(op, g) : memberFor(op, g) : Choice.NONE;
+        // Guards against long reads that age out replicas while worthier ops are refused.
+        boolean shed = op.sends == 0 && longRead(op) && valuePerWork(op) < shedPrice;
+        Choice c = shed || !mayStillSend(op) ? Choice.NONE : toPrimary ? primaryFor(op, g) : memberFor(op, g);
         if (c.hold && now < holdUntil(op)) {
             g.held.add(op);
             return false;
@@ -242,7 +244,7 @@
             shedPrice -= op.sends == 0 ? PRICE_WEIGHT * shedPrice : 0;
             send(op, c.to);
         } else {
-            shedPrice += op.sends == 0 ? PRICE_WEIGHT * (valuePerWork(op) - shedPrice) : 0;
+            shedPrice += op.sends == 0 && !shed ? PRICE_WEIGHT * (valuePerWork(op) - shedPrice) : 0;
             finish(op);
         }
         return true;
@@ -525,18 +527,16 @@
             return;
         }
         m.probeOut = false;
-        if (!e.answered()) {
-            if (now - m.answeredAt > SILENCE_LEAST) {
-                deadSign(m, "probes unanswered");
+        if (e.answered()) {
+            m.deadSigns = 0;
+            learnReport(m, e.report());
+            if (m.trust == Trust.SILENT && now >= m.retryAt) {
+                returns(m, false, "answers probes");
             }
-            return;
+            release(groups.get(m.group));
+        } else if (now - m.answeredAt > SILENCE_LEAST) {
+            deadSign(m, "probes unanswered");
         }
-        m.deadSigns = 0;
-        learnReport(m, e.report());
-        if (m.trust == Trust.SILENT && now >= m.retryAt) {
-            returns(m, false, "answers probes");
-        }
-        release(groups.get(m.group));
     }
 
     /** Guards against old reports that revive a lost role: a primary's position tells when it said so. */
@@ -567,14 +567,11 @@
             g.primary = null;
         }
         if (g.primary != was) {
-            log("group " + g.id.number() + " primary " + nameOf(was) + " to " + nameOf(g.primary));
+            String name = g.primary == null ? "unknown" : g.primary.id.text();
+            log("group " + g.id.number() + " primary " + name);
         }
     }
 
-    private static String nameOf(Member m) {
-        return m == null ? "unknown" : m.id.text();
-    }
-
     private void beat() {
         out.add(new Action.Wake(now + BEAT, 0));
         if (now >= askListAt) {
@@ -652,7 +649,7 @@
                 failing(m);
             }
             case TIMED_OUT -> learnPace(m, op, Math.max(e.took(), (long) (paceOf(op).usual * m.stretch)));
-            case FULL -> m.limit = Math.max(LEAST_LIMIT, Math.min(m.limit, m.out.size()));
+            case FULL -> m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size()));
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
                 if (op.type.needs() == Needs.WRITE) {
@@ -682,7 +679,7 @@
         double part = took / (double) Math.max(1, op.targetAt - op.arrivedAt);
         m.pressure += STRETCH_WEIGHT * (Math.min(3, part) - m.pressure);
         if (m.pressure > PRESSURE_WANTED) {
-            m.limit = Math.max(LEAST_LIMIT, m.limit - LIMIT_STEP);
+            m.limit = Math.max(leastLimit, m.limit - LIMIT_STEP);
         } else if (m.out.size() + 1 >= m.limit * 0.7) {
             m.limit += LIMIT_STEP;
         }
