On trial, count only sends made since it began, and widen with each good answer

Also guards short hangs and long stalls. Could harm with a server that answers a few ops and hangs again: more ops are tried.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -361,7 +361,13 @@
     }
 
     private boolean trusted(Member m) {
-        return m.trust == Trust.WELL || m.trust == Trust.TRIAL && m.out.isEmpty();
+        return m.trust == Trust.WELL || m.trust == Trust.TRIAL && outSinceTrust(m).size() <= m.trialsPassed;
+    }
+
+    /** On trial only sends made since it began count; older ones may be stuck for as long as they like. */
+    private static List<Op> outSinceTrust(Member m) {
+        long since = m.trust == Trust.TRIAL ? m.trustSince : Telling.UNTOLD;
+        return m.out.values().stream().filter(o -> o.sentAt >= since).toList();
     }
 
     // -- Cold servers
@@ -482,9 +488,6 @@
 
     /** Gives freed room to the ops with the most value per work, newest first. */
     private void release(Group g) {
-        if (g.held.isEmpty()) {
-            return;
-        }
         List<Op> order = new ArrayList<>(g.held);
         order.sort(Comparator.comparingDouble((Op o) -> -valuePerWork(o)).thenComparing(o -> -o.arrivedAt));
         boolean[] stuck = new boolean[opTypes.size()];
@@ -693,10 +696,10 @@
 
     /** Guards against dead, hung and cut-off servers alike: far fewer answers than the sends should bring. */
     private void lookForSilence(Member m) {
-        long oldest = m.out.isEmpty() ? now : m.out.values().iterator().next().sentAt;
-        long quiet = now - Math.max(m.answeredAt, oldest);
+        List<Op> waiting = outSinceTrust(m);
+        long quiet = now - Math.max(m.answeredAt, waiting.isEmpty() ? now : waiting.get(0).sentAt);
         double missing = 0;
-        for (Op op : m.out.values()) {
+        for (Op op : waiting) {
             missing += Math.min(quiet, now - op.sentAt) / (paceOf(op).usual * Math.max(1, m.stretch));
         }
         if (quiet >= SILENCE_LEAST && missing > ANSWERS_MISSED) {
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -222,6 +222,21 @@
                 && s.server().text().equals(first)).count()).isLessThanOrEqualTo(2);
     }
 
+    @Test
+    void aReturnedPrimaryIsTriedWhileOldWritesAreStillStuckOnIt() {
+        for (int i = 0; i < 10; i++) {
+            host.ask(FakeHost.SUBMIT);
+        }
+        host.pass(700);
+        assertThat(host.logged("server p WELL to SILENT")).isTrue();
+        OpId held = host.ask(FakeHost.SUBMIT);
+        assertThat(host.sends(held)).isEmpty();
+        host.pass(400);
+        host.levelled("p", "r1", "r2");
+        assertThat(host.sends(held)).containsExactly("p");
+        assertThat(host.sends(host.ask(FakeHost.SUBMIT))).isEmpty();
+    }
+
     @Test
     void aServerWithoutTheAnswersItShouldHaveGivenIsSilent() {
         for (int i = 0; i < 8; i++) {
