--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -43,7 +43,7 @@
     private final Map<ServerId, Member> members = new LinkedHashMap<>();
     private final Map<GroupId, Group> groups = new LinkedHashMap<>();
     private final Map<OpId, Op> ops = new LinkedHashMap<>();
-    private final Map<SessionId, Long> sessionWrites = new LinkedHashMap<>();
+    private final Map<SessionId, Long> sessionWrites = new LinkedHashMap<>(16, 0.75f, true);
     private long forgottenWrites = Telling.UNTOLD;
     private final List<Pace> paces = new ArrayList<>();
     private double[] shareRate;
@@ -117,13 +117,15 @@
         List<Member> missing = new ArrayList<>(told.whole() ? members.values() : List.of());
         for (Listing l : told.listings()) {
             Member m = members.get(l.server());
-            boolean fresh = m == null;
-            if (fresh) {
+            if (m == null) {
                 m = new Member(l.server());
                 m.limit = firstLimit;
                 members.put(m.id, m);
                 m.group = l.group();
                 groups.computeIfAbsent(m.group, Group::new).members.add(m);
+                if (l.stage() == Listing.Stage.IN) {
+                    probe(m);
+                }
             }
             missing.remove(m);
             m.zone = l.zone();
@@ -134,13 +136,8 @@
             }
             if (l.startedAt() > m.startedAt) {
                 m.startedAt = l.startedAt();
-                if (l.startedAt() + pledges.warmWithin() > now) {
-                    m.coldSince = Math.max(m.coldSince, l.startedAt());
-                    m.usualStretch = m.stretch = 1;
-                }
-            }
-            if (fresh && isIn(m)) {
-                probe(m);
+                m.coldSince = Math.max(m.coldSince, l.startedAt());
+                m.usualStretch = m.stretch = 1;
             }
         }
         missing.forEach(m -> stage(m, Listing.Stage.GONE));
@@ -184,7 +181,6 @@
 
     /** Remembers a session's write; past the most kept, the oldest are folded into one floor for all. */
     private void remember(SessionId session, long committedAt) {
-        sessionWrites.remove(session);
         sessionWrites.put(session, committedAt);
         if (sessionWrites.size() > SESSIONS_MOST) {
             Map.Entry<SessionId, Long> oldest = sessionWrites.entrySet().iterator().next();
@@ -232,24 +228,31 @@
     private boolean place(Op op) {
         Group g = groups.computeIfAbsent(op.asked.group(), Group::new);
         boolean toPrimary = op.type.needs() == Needs.WRITE || op.type.needs() == Needs.FRESH;
-        // Guards against long reads that age out replicas while worthier ops are refused.
-        boolean shed = op.sends == 0 && longRead(op) && valuePerWork(op) < shedPrice;
-        Choice c = shed || !mayStillSend(op) ? Choice.NONE : toPrimary ? primaryFor(op, g) : memberFor(op, g);
+        Choice c = !mayStillSend(op) ? Choice.NONE : toPrimary ? primaryFor(op, g) : memberFor(op, g);
         if (c.hold && now < holdUntil(op)) {
             g.held.add(op);
             return false;
         }
         g.held.remove(op);
-        if (c.to != null && worthUntil(op) - now >= WORTH_SENDING * paceOf(op).usual * c.to.stretch) {
-            shedPrice -= op.sends == 0 ? PRICE_WEIGHT * shedPrice : 0;
+        boolean go = c.to != null && !shed(op, c.to)
+                && worthUntil(op) - now >= WORTH_SENDING * paceOf(op).usual * c.to.stretch;
+        if (op.sends == 0) {
+            shedPrice += PRICE_WEIGHT * ((go ? 0 : valuePerWork(op)) - shedPrice);
+        }
+        if (go) {
             send(op, c.to);
         } else {
-            shedPrice += op.sends == 0 && !shed ? PRICE_WEIGHT * (valuePerWork(op) - shedPrice) : 0;
             finish(op);
         }
         return true;
     }
 
+    /** Guards against long reads that age out replicas, or keep them so, while worthier ops are refused. */
+    private boolean shed(Op op, Member m) {
+        return op.sends == 0 && longRead(op) && valuePerWork(op) < shedPrice
+                && (now - m.position <= tightestBound || m.out.values().stream().anyMatch(this::longRead));
+    }
+
     private boolean mayStillSend(Op op) {
         return op.sends < permits.sendsPerOp() && (!op.mayHaveRun || op.type.repeats() == Repeats.RETRYABLE
                 || op.type.repeats() == Repeats.TOKENED && now < repeatsEnd(op));
@@ -267,10 +270,8 @@
     }
 
     private long holdUntil(Op op) {
-        long end = worthUntil(op);
-        if (op.mayHaveRun && op.type.repeats() == Repeats.TOKENED) {
-            end = Math.min(end, repeatsEnd(op));
-        }
+        boolean repeat = op.mayHaveRun && op.type.repeats() == Repeats.TOKENED;
+        long end = repeat ? Math.min(worthUntil(op), repeatsEnd(op)) : worthUntil(op);
         return (op.type.lateShare() > 0 ? end : end - (long) (HOPELESS * paceOf(op).usual)) - BEAT;
     }
 
@@ -722,8 +723,7 @@
 
     private void returns(Member m, boolean byAnswer, String why) {
         long away = now - m.trustSince;
-        // Guards against a restart that the list has not told yet: long away counts as freshly started.
-        // A probe alone proves no more than that the process runs, so it brings a trial and not more.
+        // Guards against restarts not yet listed (long away is cold) and hangs (a probe brings but a trial).
         m.coldSince = away < BRIEF ? m.coldSince : now;
         trust(m, byAnswer && away < BRIEF ? Trust.WELL : Trust.TRIAL, why + " after " + away / MS + " ms");
     }
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -142,6 +142,7 @@
         for (int i = 0; i < 60; i++) {
             host.ask(FakeHost.VIEW);
         }
+        assertThat(host.sends(host.ask(FakeHost.SCAN))).as("a replica that lags of itself takes one").containsExactly("r1");
         OpId scan = host.ask(FakeHost.SCAN);
         assertThat(host.sends(scan)).isEmpty();
         assertThat(host.busyReplies(scan)).isEqualTo(1);
