Call a server silent after 400 ms at the least

Kept: stalls of some hundred ms are on the operators' lists, and a shorter wait gains nothing. Harm: reads on a dead server start their second try 150 ms later.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -614,7 +614,7 @@
     // -- Health
 
     private static final int DEAD_SIGNS = 2; // lost connections or probes in a row; one may be chance
-    private static final long SILENCE_LEAST = 250 * MS; // longer than short stalls
+    private static final long SILENCE_LEAST = 400 * MS; // longer than short stalls
     private static final double ANSWERS_MISSED = 8; // by chance once in thousands of times
     private static final long PENALTY_FIRST = 300 * MS; // doubled at each failed trial
     private static final long PENALTY_MOST = 8000 * MS;
