--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -3,7 +3,6 @@
 import java.util.*;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import ploverdale.model.*;
 import ploverdale.model.Happening.Ending;
 import ploverdale.model.OpType.Needs;
@@ -82,7 +81,7 @@
     }
 
     private void started(Happening.Started s) {
-        chance = RandomGeneratorFactory.of("L64X128MixRandom").create(s.seed());
+        chance = new SplittableRandom(s.seed());
         int gateways = Math.max(1, s.gateways());
         leastLimit = Math.min(LEAST_LIMIT_MOST, Math.max(1, LEAST_LIMIT / gateways));
         firstLimit = Math.max(leastLimit, FIRST_LIMIT / gateways);
@@ -148,9 +147,7 @@
         boolean binds = stage != Listing.Stage.GONE || pledges.removalBinds() || m.drainSeen;
         if (binds && m.stage != stage) {
             m.stage = stage;
-            if (stage == Listing.Stage.IN) {
-                m.drainSeen = false;
-            }
+            m.drainSeen &= stage != Listing.Stage.IN;
             log("server " + m.id.text() + " listed " + stage);
         }
     }
@@ -666,15 +663,13 @@
 
     /** Latency as a multiple of the op type's usual, and as a part of its target, which moves the limit. */
     private void learnPace(Member m, Op op, long took) {
-        Pace pace = paceOf(op);
-        double gain = Math.max(1.0 / ++pace.samples, 0.02);
-        pace.recent += gain * (took - pace.recent);
-        double slow = Math.min(1, (now - pace.at) / (double) USUAL_RISES_IN);
-        boolean falls = pace.recent < pace.usual || pace.samples < 20;
-        pace.usual += (falls ? 0.1 : slow) * (pace.recent - pace.usual);
-        pace.at = now;
-
-        double stretch = Math.min(STRETCH_MOST, took / pace.usual);
+        Pace p = paceOf(op);
+        p.recent += Math.max(1.0 / ++p.samples, 0.02) * (took - p.recent);
+        double slow = Math.min(1, (now - p.at) / (double) USUAL_RISES_IN);
+        p.usual += (p.recent < p.usual || p.samples < 20 ? 0.1 : slow) * (p.recent - p.usual);
+        p.at = now;
+
+        double stretch = Math.min(STRETCH_MOST, took / p.usual);
         m.stretch = stretchNow(m) + STRETCH_WEIGHT * (stretch - stretchNow(m));
         double slowly = Math.min(1, (now - m.stretchAt) / (double) USUAL_RISES_IN);
         m.usualStretch += (m.stretch < m.usualStretch ? 0.05 : slowly) * (m.stretch - m.usualStretch);
