--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -214,6 +214,7 @@
     private static final long LEVEL_HOLDS = 4000 * MS; // a replica heard level may go first this long
     private static final double GATE = 2.5; // times usual latency at which the primary takes no reads
     private static final double PRIMARY_READ_SHARE = 0.7; // of the primary's limit; the rest is for writes
+    private static final double WRITE_SHARE = 2; // of the primary's limit; late writes still have a value
     private static final double AGAIN_COST = 4; // a second send prefers any server but the first
     private static final double LONG_READ_RANK_COST = 3; // three out on one replica before the next gets one
 
@@ -274,7 +275,7 @@
 
     private Choice primaryFor(Op op, Group g) {
         Member p = g.primary;
-        return p != null && isIn(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, 1) && coldAllows(p, op)
+        return p != null && isIn(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE) && coldAllows(p, op)
                 ? new Choice(p, false) : Choice.HOLD;
     }
 
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -75,6 +75,13 @@
         assertThat(host.sends(host.ask(FakeHost.SUBMIT))).containsExactly("p");
     }
 
+    @Test
+    void writesMayFillThePrimaryBeyondWhatReadsMay() {
+        for (int i = 0; i < 40; i++) {
+            assertThat(host.sends(host.ask(FakeHost.SUBMIT))).containsExactly("p");
+        }
+    }
+
     @Test
     void whereReplicasCheckReadsASlightlyLaggingOneGoesFirstButNotAfterItTurnedOneAway() {
         FakeHost checked = new FakeHost(CopyKeeping.Checks.WAITS, false, true, 1);
