--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -275,8 +275,8 @@
 
     private Choice primaryFor(Op op, Group g) {
         Member p = g.primary;
-        return p != null && isIn(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE) && coldAllows(p, op)
-                ? new Choice(p, false) : Choice.HOLD;
+        return p != null && isIn(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE)
+                && coldAllows(p, op) ? new Choice(p, false) : Choice.HOLD;
     }
 
     private Choice memberFor(Op op, Group g) {
