--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import ploverdale.model.Action;
@@ -326,4 +327,40 @@
         }
         assertThat(twins.get(0).acts).hasSizeGreaterThan(20).isEqualTo(twins.get(1).acts);
     }
+
+    @Test
+    void regularProbesComeEachThirdOfTheTightestBoundToAServerNotHeardOfOtherwise() {
+        long before = host.probes("r1");
+        for (int i = 0; i < 6; i++) {
+            host.pass(180);
+            host.levelled("p", "r1", "r2");
+        }
+        assertThat(host.probes("r1") - before).isBetween(5L, 6L);
+    }
+
+    @Test
+    void whileRoomIsShortAnOpWithinItsTenantsShareGoesBeforeOneBeyondIt() {
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        List<OpId> asked = new ArrayList<>();
+        for (int i = 0; i < 130; i++) {
+            asked.add(host.ask(FakeHost.SUBMIT));
+        }
+        host.nowMs += 400;
+        host.probed("r1", Role.PRIMARY, host.nowMs);
+        assertThat(asked.subList(0, 99)).filteredOn(op -> !host.sends(op).isEmpty()).isNotEmpty();
+        assertThat(asked.subList(100, 130)).allMatch(op -> host.sends(op).isEmpty());
+    }
+
+    @Test
+    void aServerThatReturnsFromLongSilenceIsTakenForColdBeforeTheListTellsOfIt() {
+        host.unanswered("r1");
+        host.unanswered("r1");
+        host.nowMs += 5000;
+        host.levelled("p", "r1", "r2");
+        int cold = 0;
+        for (int i = 0; i < 12; i++) {
+            cold += host.sends(host.ask(FakeHost.HISTORY)).contains("r1") ? 1 : 0;
+        }
+        assertThat(cold).isLessThanOrEqualTo(1);
+    }
 }
