Probe when an op needs a server's word; timers only where ops pay for them

Now an op that finds nobody heard lately, or nobody fresh, asks one member and waits up to 50 ms for its word, then the next; timers draw on a budget an op (0.2) and only in groups in use; a full probe table is a sign of life; the first round is by chance, 16 probes a server over all gateways; a silent server is asked again ever more seldom.

Also guards against listed servers that never answer. It could harm where a probe's answer takes near the latency target.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -20,6 +20,7 @@
 public final class Logic {
     private static final long MS = 10;
     private static final long BEAT = 20 * MS; // looks round this often; short beside any latency target
+    private static final long IDLE_BEAT = 200 * MS; // the same, while no op is held or out
     private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
     private static final double FIRST_GUESS = 0.2; // of the target, as usual latency until answers tell
     private static final double FIRST_LIMIT = 24; // sends out a server, over all gateways, until answers tell
@@ -31,6 +32,7 @@
     private RandomGenerator chance;
     private double firstLimit;
     private double leastLimit;
+    private double firstProbe;
     private List<OpType> opTypes;
     private double beyondShareValue;
     private Pledges pledges;
@@ -52,6 +54,7 @@
     private double probesLeft;
     private double shedPrice;
     private long askListAt = Long.MAX_VALUE;
+    private long nextBeat = Long.MIN_VALUE;
 
     private long now;
     private List<Action> out;
@@ -85,6 +88,7 @@
         int gateways = Math.max(1, s.gateways());
         leastLimit = Math.min(LEAST_LIMIT_MOST, Math.max(1, LEAST_LIMIT / gateways));
         firstLimit = Math.max(leastLimit, FIRST_LIMIT / gateways);
+        firstProbe = FIRST_PROBES / gateways;
         opTypes = s.opTypes();
         beyondShareValue = s.beyondShareValue();
         pledges = s.pledges();
@@ -122,7 +126,7 @@
                 members.put(m.id, m);
                 m.group = l.group();
                 groups.computeIfAbsent(m.group, Group::new).members.add(m);
-                if (l.stage() == Listing.Stage.IN) {
+                if (l.stage() == Listing.Stage.IN && chance.nextDouble() < firstProbe) {
                     probe(m);
                 }
             }
@@ -162,6 +166,8 @@
         op.needPosition = needPosition(a, type);
         op.beyondShare = beyondShare(a.tenant().index());
         ops.put(a.op(), op);
+        wakeIn(BEAT);
+        groups.computeIfAbsent(a.group(), Group::new).askedAt = now;
         resendsLeft = Math.min(RESENDS_MOST, resendsLeft + RESENDS_PER_OP);
         probesLeft = Math.min(PROBES_MOST, probesLeft + PROBES_PER_OP);
         place(op);
@@ -275,7 +281,12 @@
 
     private Choice primaryFor(Op op, Group g) {
         Member p = g.primary;
-        return p != null && isIn(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE)
+        boolean known = p != null && isIn(p) && p.trust != Trust.SILENT;
+        if (known ? !heardLately(p) : now - g.searchedAt >= SEARCH_EVERY) {
+            g.searchedAt = now;
+            ask(g, m -> !known || m == p);
+        }
+        return known && heardLately(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE)
                 && coldAllows(p, op) ? new Choice(p, false) : Choice.HOLD;
     }
 
@@ -288,12 +299,15 @@
             return new Choice(best, false);
         }
         Member p = g.primary;
-        if (p != null && isIn(p) && p.trust == Trust.WELL && hasRoom(p, PRIMARY_READ_SHARE)
+        if (ask(g, m -> m == p ? !heardLately(m) : now - m.positionToldAt > ASK_AGAIN && !admits(m, op))) {
+            return Choice.HOLD;
+        }
+        if (p != null && isIn(p) && p.trust == Trust.WELL && heardLately(p) && hasRoom(p, PRIMARY_READ_SHARE)
                 && stretchNow(p) <= GATE * Math.max(1, p.usualStretch) && coldAllows(p, op)) {
             return new Choice(p, false); // also while the admitted replicas are full
         }
         return g.members.stream().anyMatch(m -> m != p && isIn(m)
-                && (m.trust == Trust.WELL && admits(m, op) || m.probeOut && m.role == Role.UNKNOWN))
+                && m.trust == Trust.WELL && heardLately(m) && admits(m, op))
                 ? Choice.HOLD : Choice.NONE;
     }
 
@@ -302,8 +316,8 @@
         Member best = null;
         double least = 0;
         for (Member m : g.members) {
-            if (m != g.primary && isIn(m) && trusted(m) && knowsRepeat(op, m) && hasRoom(m, 1)
-                    && letIn.test(m) && coldAllows(m, op)) {
+            if (m != g.primary && isIn(m) && trusted(m) && heardLately(m) && knowsRepeat(op, m)
+                    && hasRoom(m, 1) && letIn.test(m) && coldAllows(m, op)) {
                 double cost = cost(m, op);
                 if (best == null || cost < least) {
                     best = m;
@@ -510,9 +524,13 @@
 
     private static final double PROBE_SHARE_OF_BOUND = 1 / 3.0; // the design's starting value
     private static final long PROBE_EVERY_UNBOUND = 1000 * MS; // where no read has a bound; roles only
-    private static final long PROBE_EVERY_SEARCHING = 150 * MS; // a takeover lasts seconds
-    private static final double PROBES_PER_OP = 0.2; // where replicas check; more cost more than turn-aways
+    private static final long SEARCH_EVERY = 100 * MS; // one member after the other; a takeover lasts seconds
+    private static final double PROBES_PER_OP = 0.2; // on the timer; more cost more than they bring
     private static final double PROBES_MOST = 20; // a start's first round
+    private static final double FIRST_PROBES = 16; // of a new server, over all gateways; few fit at once
+    private static final long HEARD_LASTS = 2000 * MS; // no op to a server not heard of for longer
+    private static final long ASK_AGAIN = 150 * MS; // about how often reports are made anew
+    private static final long PATIENCE = 50 * MS; // a probe takes a few; then the next member is asked
     private static final long REPORT_AGE = 300 * MS; // reports may be this old when they come
 
     private void probe(Member m) {
@@ -523,22 +541,52 @@
         }
     }
 
+    /** Heard of late; guards gateways with few ops against dead servers and against listed ones that are not. */
+    private boolean heardLately(Member m) {
+        return now - m.heardAt <= HEARD_LASTS;
+    }
+
+    /**
+     * Guards against a price of probes that grows with the gateways: one with few ops asks a server only when an
+     * op needs its word. True while such a word is awaited.
+     */
+    private boolean ask(Group g, Predicate<Member> who) {
+        List<Member> willing = new ArrayList<>();
+        for (Member m : g.members) {
+            if (m.probeOut && now - m.probedAt < PATIENCE && who.test(m)) {
+                return true;
+            }
+            if (isIn(m) && !m.probeOut && now >= m.retryAt && now - m.probedAt > ASK_AGAIN && who.test(m)) {
+                willing.add(m);
+            }
+        }
+        if (willing.isEmpty() || !permits.probes()) {
+            return false;
+        }
+        probe(willing.get(chance.nextInt(willing.size())));
+        return true;
+    }
+
     private void probeEnded(Happening.ProbeEnded e) {
         Member m = members.get(e.server());
         if (m == null) {
             return;
         }
         m.probeOut = false;
-        if (e.answered()) {
+        if (e.ending() == Ending.ACKED || e.ending() == Ending.FULL) {
             m.deadSigns = 0;
+            m.heardAt = now;
             learnReport(m, e.report());
             if (m.trust == Trust.SILENT && now >= m.retryAt) {
                 returns(m, false, "answers probes");
             }
-            release(groups.get(m.group));
+        } else if (m.trust == Trust.SILENT) {
+            m.penalty = Math.min(PENALTY_MOST, m.penalty * 2);
+            m.retryAt = now + m.penalty;
         } else if (now - m.answeredAt > SILENCE_LEAST) {
             deadSign(m, "probes unanswered");
         }
+        release(groups.get(m.group));
     }
 
     /** Guards against old reports that revive a lost role: a primary's position tells when it said so. */
@@ -574,8 +622,20 @@
         }
     }
 
+    /** Looks round again soon, or later where nothing is out or held. */
+    private void wakeIn(long time) {
+        if (now + time < nextBeat) {
+            nextBeat = now + time;
+            out.add(new Action.Wake(nextBeat, 0));
+        }
+    }
+
     private void beat() {
-        out.add(new Action.Wake(now + BEAT, 0));
+        if (now < nextBeat) {
+            return; // an earlier look round made this one needless
+        }
+        nextBeat = Long.MAX_VALUE;
+        wakeIn(ops.isEmpty() ? IDLE_BEAT : BEAT);
         if (now >= askListAt) {
             out.add(new Action.FollowList());
             askListAt = Long.MAX_VALUE;
@@ -588,14 +648,16 @@
             if (m.trust == Trust.FAILING && now >= m.retryAt) {
                 trust(m, Trust.TRIAL, "after " + m.penalty / MS + " ms");
             }
-            long last = Math.max(m.probedAt, m.trust == Trust.SILENT ? Telling.UNTOLD : m.positionToldAt);
-            if (isIn(m) && now - last >= probeInterval(m)) {
+            boolean silent = m.trust == Trust.SILENT;
+            long last = Math.max(m.probedAt, silent ? Telling.UNTOLD : m.positionToldAt);
+            boolean inUse = now - groups.get(m.group).askedAt < probeEvery;
+            if (isIn(m) && inUse && now - last >= probeEvery && (!silent || now >= m.retryAt)) {
                 due.add(m);
             }
         }
         due.sort(Comparator.comparingLong(m -> Math.max(m.probedAt, m.positionToldAt)));
         for (Member m : due) {
-            if (copies.checks() == CopyKeeping.Checks.NONE || probesLeft >= 1) {
+            if (probesLeft >= 1) {
                 probesLeft--;
                 probe(m);
             }
@@ -603,12 +665,6 @@
         groups.values().forEach(this::release);
     }
 
-    private long probeInterval(Member m) {
-        Group g = groups.get(m.group);
-        boolean searching = g.primary == null || g.primary.trust == Trust.SILENT || !isIn(g.primary);
-        return searching ? Math.min(probeEvery, PROBE_EVERY_SEARCHING) : probeEvery;
-    }
-
     // -- Health
 
     private static final int DEAD_SIGNS = 2; // lost connections or probes in a row; one may be chance
@@ -632,7 +688,7 @@
         if (ending == Ending.NOT_CONNECTED || ending == Ending.BROKEN_OFF) {
             deadSign(m, "connections lost");
         } else if (ending != Ending.TIMED_OUT && ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT) {
-            m.answeredAt = now;
+            m.answeredAt = m.heardAt = now;
             m.deadSigns = 0;
             if (m.trust == Trust.SILENT) {
                 returns(m, true, "answers");
--- a/src/main/java/ploverdale/benchlink/Reader.java
+++ b/src/main/java/ploverdale/benchlink/Reader.java
@@ -181,7 +181,7 @@
     }
 
     Happening probeEnded(Fields f) {
-        return new Happening.ProbeEnded(new ServerId(f.text("server")), f.text("verdict").equals("pass"), report(f));
+        return new Happening.ProbeEnded(new ServerId(f.text("server")), ending(f.text("verdict")), report(f));
     }
 
     private Telling report(Fields f) {
--- a/src/main/java/ploverdale/model/Happening.java
+++ b/src/main/java/ploverdale/model/Happening.java
@@ -33,7 +33,7 @@
     record WakeUp(long mark) implements Happening {}
 
     /** A probe has ended; the report may be null. */
-    record ProbeEnded(ServerId server, boolean answered, Telling report) implements Happening {}
+    record ProbeEnded(ServerId server, Ending ending, Telling report) implements Happening {}
 
     /** Another gateway's message. */
     record PeerMessage(int from, String hex) implements Happening {}
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -27,6 +27,7 @@
     public long positionToldAt = Telling.UNTOLD;
     public long turnedAwayAt = Telling.UNTOLD;
 
+    public long heardAt = Telling.UNTOLD;
     public long probedAt = Telling.UNTOLD;
     public boolean probeOut;
 
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -76,6 +76,15 @@
         }
     }
 
+    /** Lets this time pass, after which the primary is level and the replicas stand where they stood. */
+    void lagging(long ms) {
+        long was = nowMs;
+        nowMs += ms;
+        probed("p", Role.PRIMARY, nowMs);
+        probed("r1", Role.REPLICA, was);
+        probed("r2", Role.REPLICA, was);
+    }
+
     List<Action> tell(Happening h) {
         List<Action> now = logic.on(nowMs * 10, h);
         acts.addAll(now);
@@ -107,11 +116,11 @@
     }
 
     void probed(String server, Role role, long positionMs) {
-        tell(new Happening.ProbeEnded(new ServerId(server), true, new Telling(role, positionMs * 10)));
+        tell(new Happening.ProbeEnded(new ServerId(server), Ending.ACKED, new Telling(role, positionMs * 10)));
     }
 
     void unanswered(String server) {
-        tell(new Happening.ProbeEnded(new ServerId(server), false, null));
+        tell(new Happening.ProbeEnded(new ServerId(server), Ending.TIMED_OUT, null));
     }
 
     OpId ask(int type) {
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -40,6 +40,55 @@
         assertThat(fresh.sends(read)).containsExactly("r1");
     }
 
+    @Test
+    void aGroupNotAskedForCostsNoProbesAndAReadThereAsksOneMemberAndThenTheNext() {
+        host.pass(5000);
+        long before = host.probes("r1") + host.probes("r2");
+        host.pass(5000);
+        assertThat(host.probes("r1") + host.probes("r2")).isEqualTo(before);
+        OpId read = host.ask(FakeHost.VIEW);
+        assertThat(host.probes("p") + host.probes("r1") + host.probes("r2")).isEqualTo(before + 1 + 1);
+        assertThat(host.sends(read)).isEmpty();
+        host.pass(100);
+        host.probed("r1", Role.REPLICA, host.nowMs - 100);
+        assertThat(host.sends(read)).containsExactly("r1");
+    }
+
+    @Test
+    void aServerThatIsListedButNeverHeardGetsNoOp() {
+        host.list(false, "ghost");
+        for (int i = 0; i < 5; i++) {
+            assertThat(host.sends(host.ask(FakeHost.HISTORY))).isSubsetOf("r1", "r2").hasSize(1);
+        }
+    }
+
+    @Test
+    void aFullProbeTableIsASignOfLifeAndNoDeadOne() {
+        host.nowMs += 3000;
+        for (int i = 0; i < 3; i++) {
+            host.tell(new Happening.ProbeEnded(new ServerId("r1"), Ending.FULL, null));
+        }
+        assertThat(host.logged("SILENT")).isFalse();
+        assertThat(host.sends(host.ask(FakeHost.HISTORY))).containsExactly("r1");
+    }
+
+    @Test
+    void opsThatArriveAsALookRoundFallsDueDoNotPutItOff() {
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        OpId write = host.ask(FakeHost.SUBMIT);
+        List<Long> wakes = new ArrayList<>();
+        for (int i = 0; i < 600 && host.busyReplies(write) == 0; i++) {
+            host.nowMs += 5;
+            host.acts.stream().filter(Action.Wake.class::isInstance).forEach(a -> wakes.add(((Action.Wake) a).at()));
+            host.acts.removeIf(Action.Wake.class::isInstance);
+            host.ask(FakeHost.SUBMIT);
+            if (wakes.removeIf(at -> at <= host.nowMs * 10 - 10)) {
+                host.tell(new Happening.WakeUp(0));
+            }
+        }
+        assertThat(host.busyReplies(write)).isEqualTo(1);
+    }
+
     @Test
     void aReplicaBeyondTheBoundLosesBoundedReadsButKeepsUnboundedOnes() {
         host.nowMs += 400;
@@ -53,7 +102,7 @@
 
     @Test
     void withNoReplicaAdmittedThePrimaryTakesReadsUntilItsGateShutsThenABusyReplyComesAtOnce() {
-        host.nowMs += 600;
+        host.lagging(600);
         assertThat(host.sends(host.ask(FakeHost.VIEW))).containsExactly("p");
         OpId refused = null;
         for (int i = 0; i < 30; i++) {
@@ -146,7 +195,7 @@
             host.tell(new Happening.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)), Ending.ACKED, 9000, true,
                     null, null));
         }
-        host.nowMs += 1000;
+        host.lagging(1000);
         for (int i = 0; i < 60; i++) {
             host.ask(FakeHost.VIEW);
         }
@@ -332,7 +381,12 @@
     void regularProbesComeEachThirdOfTheTightestBoundToAServerNotHeardOfOtherwise() {
         long before = host.probes("r1");
         for (int i = 0; i < 6; i++) {
-            host.pass(180);
+            host.pass(90);
+            for (int j = 0; j < 15; j++) {
+                host.ends(host.ask(FakeHost.FRESH), 0, "p", Ending.ACKED, null);
+            }
+            host.ask(FakeHost.FRESH);
+            host.pass(90);
             host.levelled("p", "r1", "r2");
         }
         assertThat(host.probes("r1") - before).isBetween(5L, 6L);
