--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -219,6 +219,9 @@
     private static final double HOPELESS = 2.5; // usual latencies left when a held op gives up; 1.2 timed out
     private static final long LEVEL_HOLDS = 4000 * MS; // a replica heard level may go first this long
     private static final double GATE = 2.5; // times usual latency at which the primary takes no reads
+    private static final double PRIMARY_BUSY = 0.95; // told busy part of its cores, with the same effect
+    private static final double REPLICA_BUSY = 1.05; // the same for a replica; queues grow from 0.8 on
+    private static final double BUSY_BAND = 0.25; // below these, over which ever fewer reads get in, by chance
     private static final double PRIMARY_READ_SHARE = 0.7; // of the primary's limit; the rest is for writes
     private static final double WRITE_SHARE = 2; // of the primary's limit; late writes still have a value
     private static final double AGAIN_COST = 4; // a second send prefers any server but the first
@@ -276,7 +279,8 @@
     private long holdUntil(Op op) {
         boolean repeat = op.mayHaveRun && op.type.repeats() == Repeats.TOKENED;
         long end = repeat ? Math.min(worthUntil(op), repeatsEnd(op)) : worthUntil(op);
-        return (op.type.lateShare() > 0 ? end : end - (long) (HOPELESS * paceOf(op).usual)) - BEAT;
+        long hopeless = op.type.lateShare() > 0 ? 0 : (long) (HOPELESS * paceOf(op).usual);
+        return Math.min(end, Math.max(end - hopeless, op.arrivedAt + 2 * PATIENCE)) - BEAT;
     }
 
     private Choice primaryFor(Op op, Group g) {
@@ -299,25 +303,40 @@
             return new Choice(best, false);
         }
         Member p = g.primary;
-        if (ask(g, m -> m == p ? !heardLately(m) : now - m.positionToldAt > ASK_AGAIN && !admits(m, op))) {
+        if (ask(g, m -> !heardLately(m) || m != p && !admits(m, op) && now - m.positionToldAt > ASK_AGAIN)) {
             return Choice.HOLD;
         }
         if (p != null && isIn(p) && p.trust == Trust.WELL && heardLately(p) && hasRoom(p, PRIMARY_READ_SHARE)
-                && stretchNow(p) <= GATE * Math.max(1, p.usualStretch) && coldAllows(p, op)) {
+                && stretchNow(p) <= GATE * Math.max(1, p.usualStretch)
+                && notTooBusy(p, PRIMARY_BUSY) && coldAllows(p, op)) {
             return new Choice(p, false); // also while the admitted replicas are full
         }
-        return g.members.stream().anyMatch(m -> m != p && isIn(m)
-                && m.trust == Trust.WELL && heardLately(m) && admits(m, op))
+        return g.members.stream().anyMatch(m -> m != p && isIn(m) && m.trust == Trust.WELL && heardLately(m)
+                && m.busy < REPLICA_BUSY - BUSY_BAND && (admits(m, op) || mayCatchUp(m, op)))
                 ? Choice.HOLD : Choice.NONE;
     }
 
+    /** A replica only little too old, by a report that is old itself; asking again may find it fresh in time. */
+    private boolean mayCatchUp(Member m, Op op) {
+        return op.type.needs() == Needs.BOUNDED && copies.checks() == CopyKeeping.Checks.NONE
+                && now - m.position <= 2 * op.type.stalenessBound();
+    }
+
+    /**
+     * Guards against many small gateways that together crowd a server while each has next to nothing out there:
+     * the busier it says it is, the fewer reads each sends, by own chance.
+     */
+    private boolean notTooBusy(Member m, double shut) {
+        return chance.nextDouble() < (shut - m.busy) / BUSY_BAND;
+    }
+
     /** The cheapest trusted replica with room among those let in. */
     private Member spread(Op op, Group g, Predicate<Member> letIn) {
         Member best = null;
         double least = 0;
         for (Member m : g.members) {
             if (m != g.primary && isIn(m) && trusted(m) && heardLately(m) && knowsRepeat(op, m)
-                    && hasRoom(m, 1) && letIn.test(m) && coldAllows(m, op)) {
+                    && hasRoom(m, 1) && letIn.test(m) && notTooBusy(m, REPLICA_BUSY) && coldAllows(m, op)) {
                 double cost = cost(m, op);
                 if (best == null || cost < least) {
                     best = m;
@@ -355,7 +374,8 @@
         if (longRead(op)) {
             again *= Math.pow(LONG_READ_RANK_COST, rank(m));
         }
-        return again * stretchNow(m) * (m.out.size() + 1) / warmth(m) * (1 + 0.1 * chance.nextDouble());
+        double room = Math.max(0.1, 1 - m.busy) * warmth(m);
+        return again * stretchNow(m) * (m.out.size() + 1) / room * (1 + 0.1 * chance.nextDouble());
     }
 
     private boolean longRead(Op op) {
@@ -386,7 +406,6 @@
     // -- Cold servers
 
     private static final double COLD_SHARE = 0.5; // of the told multiple; the rest is for chance and repeats
-    private static final double COLD_SINGLE = 0.1; // of the told window; shorter ops may go one by one
 
     private double warmth(Member m) {
         double share = Math.max(0, (now - m.coldSince) / (double) Math.max(1, pledges.warmWithin()));
@@ -394,18 +413,28 @@
     }
 
     // Guards against all gateways together pushing a cold server over: each sends it no more than its present
-    // capacity's part of what it sends a warm peer, so the sum keeps the same part of what peers take.
+    // capacity's part of what it sends a warm peer, so the sum keeps the same part of what peers take. Parts of
+    // an op add up as credit, from a start by chance, so that whole ops of many small gateways add up to no more.
     private boolean coldAllows(Member m, Op op) {
         double warmth = warmth(m);
         if (warmth >= 1) {
             return true;
         }
         double work = paceOf(op).usual;
-        double peers = members.values().stream()
+        OptionalDouble peers = members.values().stream()
                 .filter(p -> p != m && isIn(p) && p.trust == Trust.WELL && warmth(p) >= 1)
-                .mapToDouble(this::sentWork).average().orElse(0);
-        return sentWork(m) + work <= COLD_SHARE * pledges.overloadMultiple() * warmth * peers
-                || m.out.isEmpty() && work < pledges.overloadWindow() * COLD_SINGLE;
+                .mapToDouble(this::sentWork).average();
+        if (peers.isEmpty()) {
+            return m.out.isEmpty();
+        }
+        double allowed = COLD_SHARE * pledges.overloadMultiple() * warmth * peers.getAsDouble();
+        double windows = (now - Math.max(m.coldSince, m.coldCreditAt)) / (double) pledges.overloadWindow();
+        if (m.coldCreditAt < m.coldSince) {
+            m.coldCredit = chance.nextDouble() * work; // so that all gateways' first ops don't come at once
+        }
+        m.coldCredit = Math.min(m.coldCredit + allowed * windows, Math.max(work, allowed));
+        m.coldCreditAt = now;
+        return m.coldCredit >= work;
     }
 
     /** Work sent in about the last window of the cold rule. */
@@ -430,6 +459,7 @@
         m.out.put(op.asked.op(), op);
         sentWork(m);
         m.sentWork += paceOf(op).usual;
+        m.coldCredit -= paceOf(op).usual;
     }
 
     private void sendEnded(Happening.SendEnded e) {
@@ -551,22 +581,33 @@
      * op needs its word. True while such a word is awaited.
      */
     private boolean ask(Group g, Predicate<Member> who) {
-        List<Member> willing = new ArrayList<>();
+        boolean others = g.members.stream().anyMatch(Logic::promising);
+        Member pick = null;
+        double most = 0;
         for (Member m : g.members) {
-            if (m.probeOut && now - m.probedAt < PATIENCE && who.test(m)) {
+            boolean wanted = isIn(m) && who.test(m) && (!others || promising(m));
+            if (wanted && m.probeOut && now - m.probedAt < PATIENCE) {
                 return true;
             }
-            if (isIn(m) && !m.probeOut && now >= m.retryAt && now - m.probedAt > ASK_AGAIN && who.test(m)) {
-                willing.add(m);
+            double luck = chance.nextDouble();
+            if (wanted && !m.probeOut && now >= m.retryAt && now - m.probedAt > ASK_AGAIN && luck >= most) {
+                pick = m;
+                most = luck;
             }
         }
-        if (willing.isEmpty() || !permits.probes()) {
+        if (pick == null || !permits.probes()) {
             return false;
         }
-        probe(willing.get(chance.nextInt(willing.size())));
+        probesLeft = Math.max(0, probesLeft - 1);
+        probe(pick);
         return true;
     }
 
+    /** Heard before and not silent now: no op waits for the word of a server that may be none. */
+    private static boolean promising(Member m) {
+        return isIn(m) && m.heardAt != Telling.UNTOLD && m.trust != Trust.SILENT;
+    }
+
     private void probeEnded(Happening.ProbeEnded e) {
         Member m = members.get(e.server());
         if (m == null) {
@@ -600,6 +641,7 @@
         if (t == null) {
             return;
         }
+        m.busy = Double.isNaN(t.busy()) ? m.busy : t.busy();
         if (t.position() != Telling.UNTOLD) {
             m.position = Math.max(m.position, t.position() - MS); // a write's commit is rounded up
             m.positionToldAt = now;
@@ -648,10 +690,10 @@
             if (m.trust == Trust.FAILING && now >= m.retryAt) {
                 trust(m, Trust.TRIAL, "after " + m.penalty / MS + " ms");
             }
-            boolean silent = m.trust == Trust.SILENT;
-            long last = Math.max(m.probedAt, silent ? Telling.UNTOLD : m.positionToldAt);
-            boolean inUse = now - groups.get(m.group).askedAt < probeEvery;
-            if (isIn(m) && inUse && now - last >= probeEvery && (!silent || now >= m.retryAt)) {
+            boolean inUse = isIn(m) && now - groups.get(m.group).askedAt < probeEvery;
+            if (inUse && !promising(m) && now >= m.retryAt) {
+                probe(m);
+            } else if (inUse && now - Math.max(m.probedAt, m.positionToldAt) >= probeEvery) {
                 due.add(m);
             }
         }
@@ -761,7 +803,7 @@
     }
 
     private void deadSign(Member m, String what) {
-        if (++m.deadSigns >= DEAD_SIGNS) {
+        if (++m.deadSigns >= DEAD_SIGNS || m.heardAt == Telling.UNTOLD) {
             silent(m, what + " " + m.deadSigns);
         }
     }
@@ -793,7 +835,8 @@
     private void trust(Member m, Trust to, String why) {
         log("server " + m.id.text() + " " + m.trust + " to " + to + ": " + why);
         if (to == Trust.SILENT || to == Trust.FAILING) {
-            m.penalty = m.trust == Trust.TRIAL ? Math.min(PENALTY_MOST, m.penalty * 2) : PENALTY_FIRST;
+            m.penalty = m.heardAt == Telling.UNTOLD ? PENALTY_MOST
+                    : m.trust == Trust.TRIAL ? Math.min(PENALTY_MOST, m.penalty * 2) : PENALTY_FIRST;
             m.retryAt = now + m.penalty;
         }
         m.trust = to;
--- a/src/main/java/ploverdale/benchlink/Reader.java
+++ b/src/main/java/ploverdale/benchlink/Reader.java
@@ -26,6 +26,7 @@
     private final boolean positionsInNotes;
     private final int positionField;
     private final int roleField;
+    private final int busyField;
     private final Happening.Started started;
 
     Reader(Fields boot) {
@@ -36,6 +37,7 @@
         List<Object> order = all.object("report").list("fields");
         positionField = order.indexOf("x0");
         roleField = order.indexOf("x1");
+        busyField = order.indexOf("busy");
         started = started(boot.whole("salt", 0), all, special);
     }
 
@@ -197,7 +199,8 @@
         if (positionField >= 0 && positionField < row.size() && row.get(positionField) instanceof Number n) {
             position = Fields.down(positionZeroMs + n.doubleValue() * 1000);
         }
-        return new Telling(role, position);
+        boolean busy = busyField >= 0 && busyField < row.size() && row.get(busyField) instanceof Number;
+        return new Telling(role, position, busy ? ((Number) row.get(busyField)).doubleValue() : Double.NaN);
     }
 
     private static Role role(int word) {
--- a/src/main/java/ploverdale/model/Telling.java
+++ b/src/main/java/ploverdale/model/Telling.java
@@ -1,7 +1,11 @@
 package ploverdale.model;
 
-/** What a server said of itself: its role and, when it told one, the log position it has applied. */
-public record Telling(Role role, long position) {
+/** What a server said of itself: its role and, when told, the log position applied and the busy part of its cores. */
+public record Telling(Role role, long position, double busy) {
+
+    public Telling(Role role, long position) {
+        this(role, position, Double.NaN);
+    }
 
     /** Stands for no position told. */
     public static final long UNTOLD = Long.MIN_VALUE / 4;
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -39,11 +39,14 @@
     public int deadSigns;
     public double failShare;
     public long coldSince = Telling.UNTOLD;
+    public double coldCredit;
+    public long coldCreditAt = Telling.UNTOLD;
 
     public final Map<OpId, Op> out = new LinkedHashMap<>();
     public long answeredAt = Telling.UNTOLD;
     public double limit;
     public double pressure;
+    public double busy;
     public double stretch = 1;
     public double usualStretch = 1;
     public long stretchAt;
