Tell scarce connections from slow handshakes and dead servers; give up idle ones

Slow handshakes fail after 250 ms instead, and there idle connections must be kept. Change: a failed connect stops ops there until a probe tells; if it was refused at once and the probe is answered, connections are scarce: for ten seconds each gateway closes what it does not use. Any failed connect cuts the limit to what is open and rests its growth for two seconds. Also guards against servers with a small connection table; harm: a handshake an op while it lasts.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -54,6 +54,7 @@
     private double probesLeft;
     private double shedPrice;
     private long askListAt = Long.MAX_VALUE;
+    private long scarceUntil = Telling.UNTOLD;
     private long nextBeat = Long.MIN_VALUE;
 
     private long now;
@@ -486,6 +487,9 @@
             next(live, m, e.ending());
         }
         release(groups.get(m.group));
+        if (now < scarceUntil && m.out.isEmpty()) {
+            closeIdle(m);
+        }
     }
 
     private void next(Op op, Member m, Ending ending) {
@@ -560,6 +564,9 @@
     private static final double FIRST_PROBES = 16; // of a new server, over all gateways; few fit at once
     private static final long HEARD_LASTS = 2000 * MS; // no op to a server not heard of for longer
     private static final long ASK_AGAIN = 150 * MS; // about how often reports are made anew
+    private static final long AT_ONCE = 50 * MS; // a connect that fails sooner was refused, not slow
+    private static final long CONNECTS_REST = 2000 * MS; // no more ops at once than before, after a failed connect
+    private static final long SCARCE_LASTS = 10_000 * MS; // after the last failed connect that a probe outlived
     private static final long PATIENCE = 50 * MS; // a probe takes a few; then the next member is asked
     private static final long REPORT_AGE = 300 * MS; // reports may be this old when they come
 
@@ -603,6 +610,33 @@
         return true;
     }
 
+    /** Guards against dead servers, few connections and slow handshakes alike; the next probe tells which. */
+    private void notConnected(Member m, Op op, boolean atOnce) {
+        m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size())); // what is open already is kept
+        m.connectFailedAt = now;
+        m.refusesConnects = atOnce;
+        if (m.answeredAt < op.sentAt) {
+            m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1); // no op until the probe tells
+            probe(m);
+        }
+    }
+
+    /**
+     * Guards against servers that live but take few connections: idle ones are given up, here and elsewhere, so
+     * that other gateways find room; a handshake costs less than an op that finds none.
+     */
+    private void connectionsScarce(Member m) {
+        if (now > scarceUntil) {
+            log("connections scarce: " + m.id.text() + " answers probes but takes no connection");
+            members.values().stream().filter(o -> o.out.isEmpty()).forEach(this::closeIdle);
+        }
+        scarceUntil = now + SCARCE_LASTS;
+    }
+
+    private void closeIdle(Member m) {
+        out.add(new Action.CloseIdle(m.id));
+    }
+
     /** Heard before and not silent now: no op waits for the word of a server that may be none. */
     private static boolean promising(Member m) {
         return isIn(m) && m.heardAt != Telling.UNTOLD && m.trust != Trust.SILENT;
@@ -617,6 +651,9 @@
         if (e.ending() == Ending.ACKED || e.ending() == Ending.FULL) {
             m.deadSigns = 0;
             m.heardAt = now;
+            if (m.refusesConnects && now - m.connectFailedAt < BRIEF) {
+                connectionsScarce(m);
+            }
             learnReport(m, e.report());
             if (m.trust == Trust.SILENT && now >= m.retryAt) {
                 returns(m, false, "answers probes");
@@ -727,7 +764,9 @@
 
     private void learnHealth(Member m, Op op, Happening.SendEnded e) {
         Ending ending = e.ending();
-        if (ending == Ending.NOT_CONNECTED || ending == Ending.BROKEN_OFF) {
+        if (ending == Ending.NOT_CONNECTED) {
+            notConnected(m, op, e.took() < AT_ONCE);
+        } else if (ending == Ending.BROKEN_OFF) {
             deadSign(m, "connections lost");
         } else if (ending != Ending.TIMED_OUT && ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT) {
             m.answeredAt = m.heardAt = now;
@@ -778,7 +817,7 @@
         m.pressure += STRETCH_WEIGHT * (Math.min(3, part) - m.pressure);
         if (m.pressure > PRESSURE_WANTED) {
             m.limit = Math.max(leastLimit, m.limit - LIMIT_STEP);
-        } else if (m.out.size() + 1 >= m.limit * 0.7) {
+        } else if (m.out.size() + 1 >= m.limit * 0.7 && now - m.connectFailedAt > CONNECTS_REST) {
             m.limit += LIMIT_STEP;
         }
     }
--- a/src/main/java/ploverdale/benchlink/Writer.java
+++ b/src/main/java/ploverdale/benchlink/Writer.java
@@ -32,6 +32,9 @@
         } else if (action instanceof Action.Probe a) {
             open(g, "TOUCH", gateway);
             g.writeStringField("server", a.server().text());
+        } else if (action instanceof Action.CloseIdle a) {
+            open(g, "DROP_CONNS", gateway);
+            g.writeStringField("server", a.server().text());
         } else if (action instanceof Action.FollowList) {
             open(g, "KEEP_INFORMED", gateway);
             g.writeBooleanField("enable", true);
--- a/src/main/java/ploverdale/model/Action.java
+++ b/src/main/java/ploverdale/model/Action.java
@@ -21,6 +21,9 @@
     /** Ask a server how it is. */
     record Probe(ServerId server) implements Action {}
 
+    /** Close the idle connections to a server. */
+    record CloseIdle(ServerId server) implements Action {}
+
     /** Ask for changes of the list from now on. */
     record FollowList() implements Action {}
 
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -28,6 +28,8 @@
     public long turnedAwayAt = Telling.UNTOLD;
 
     public long heardAt = Telling.UNTOLD;
+    public long connectFailedAt = Telling.UNTOLD;
+    public boolean refusesConnects;
     public long probedAt = Telling.UNTOLD;
     public boolean probeOut;
 
