--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -24,8 +24,7 @@
     private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
     private static final double FIRST_GUESS = 0.2; // of the target, as usual latency until answers tell
     private static final double FIRST_LIMIT = 24; // sends out a server, over all gateways, until answers tell
-    private static final double LEAST_LIMIT = 8; // the same, at the least; one a gateway if they are many
-    private static final double LEAST_LIMIT_MOST = 2; // a gateway; four crowded lagging groups
+    private static final double LEAST_LIMIT = 8; // the same, at the least; one or two a gateway
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
     private static final int SESSIONS_MOST = 50_000; // some megabytes
 
@@ -44,13 +43,13 @@
     private final Map<ServerId, Member> members = new LinkedHashMap<>();
     private final Map<GroupId, Group> groups = new LinkedHashMap<>();
     private final Map<OpId, Op> ops = new LinkedHashMap<>();
-    private final Map<SessionId, Long> sessionWrites = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<SessionId, Long> sessionWrites = new HashMap<>();
     private long forgottenWrites = Telling.UNTOLD;
     private final List<Pace> paces = new ArrayList<>();
     private double[] shareRate;
     private double[] shareLeft;
     private long sharesAt;
-    private double resendsLeft = RESENDS_MOST;
+    private double resendsLeft = SAVED_MOST;
     private double probesLeft;
     private double shedPrice;
     private long askListAt = Long.MAX_VALUE;
@@ -76,8 +75,6 @@
             listTold(l);
         } else if (h instanceof Happening.ClientLeft c) {
             clientLeft(c.op());
-        } else if (h instanceof Happening.AnswerBegun b && ops.containsKey(b.op())) {
-            ops.get(b.op()).begun = true;
         } else if (h instanceof Happening.Started s) {
             started(s);
         }
@@ -87,7 +84,7 @@
     private void started(Happening.Started s) {
         chance = new SplittableRandom(s.seed());
         int gateways = Math.max(1, s.gateways());
-        leastLimit = Math.min(LEAST_LIMIT_MOST, Math.max(1, LEAST_LIMIT / gateways));
+        leastLimit = Math.min(2, Math.max(1, LEAST_LIMIT / gateways));
         firstLimit = Math.max(leastLimit, FIRST_LIMIT / gateways);
         firstProbe = FIRST_PROBES / gateways;
         opTypes = s.opTypes();
@@ -113,8 +110,7 @@
     // -- The list of servers
 
     private void listTold(Happening.ListTold told) {
-        if (told.failed()) {
-            // Guards against a list service that is down: ask again, spread out so that gateways don't meet.
+        if (told.failed()) { // guards against a list service that is down: ask again, spread out by chance
             askListAt = now + 500 * MS + chance.nextInt(1000) * MS;
             return;
         }
@@ -122,11 +118,9 @@
         for (Listing l : told.listings()) {
             Member m = members.get(l.server());
             if (m == null) {
-                m = new Member(l.server());
-                m.limit = firstLimit;
+                m = new Member(l.server(), groups.computeIfAbsent(l.group(), Group::new), firstLimit);
                 members.put(m.id, m);
-                m.group = l.group();
-                groups.computeIfAbsent(m.group, Group::new).members.add(m);
+                m.group.members.add(m);
                 if (l.stage() == Listing.Stage.IN && chance.nextDouble() < firstProbe) {
                     probe(m);
                 }
@@ -134,9 +128,8 @@
             missing.remove(m);
             m.zone = l.zone();
             stage(m, l.stage());
-            Group g = groups.get(m.group);
-            if (l.primary() && g.primary == null && m.role == Role.UNKNOWN && isIn(m)) {
-                g.primary = m; // a hint, until the member itself is heard
+            if (l.primary() && m.group.primary == null && m.role == Role.UNKNOWN && isIn(m)) {
+                m.group.primary = m; // a hint, until the member itself is heard
             }
             if (l.startedAt() > m.startedAt) {
                 m.startedAt = l.startedAt();
@@ -169,8 +162,8 @@
         ops.put(a.op(), op);
         wakeIn(BEAT);
         groups.computeIfAbsent(a.group(), Group::new).askedAt = now;
-        resendsLeft = Math.min(RESENDS_MOST, resendsLeft + RESENDS_PER_OP);
-        probesLeft = Math.min(PROBES_MOST, probesLeft + PROBES_PER_OP);
+        resendsLeft = Math.min(SAVED_MOST, resendsLeft + RESENDS_PER_OP);
+        probesLeft = Math.min(SAVED_MOST, probesLeft + PROBES_PER_OP);
         place(op);
     }
 
@@ -183,14 +176,13 @@
                 : sessionWrites.getOrDefault(a.session(), forgottenWrites);
     }
 
-    /** Remembers a session's write; past the most kept, the oldest are folded into one floor for all. */
+    /** Remembers a session's write; past the most kept, all are folded into one floor. */
     private void remember(SessionId session, long committedAt) {
-        sessionWrites.put(session, committedAt);
-        if (sessionWrites.size() > SESSIONS_MOST) {
-            Map.Entry<SessionId, Long> oldest = sessionWrites.entrySet().iterator().next();
-            forgottenWrites = Math.max(forgottenWrites, oldest.getValue());
-            sessionWrites.remove(oldest.getKey());
+        if (sessionWrites.size() >= SESSIONS_MOST) {
+            forgottenWrites = Math.max(forgottenWrites, Collections.max(sessionWrites.values()));
+            sessionWrites.clear();
         }
+        sessionWrites.put(session, committedAt);
     }
 
     private boolean beyondShare(int tenant) {
@@ -198,8 +190,7 @@
             return false;
         }
         for (int i = 0; i < shareLeft.length; i++) {
-            double second = (now - sharesAt) / (1000.0 * MS);
-            shareLeft[i] = Math.min(shareRate[i], shareLeft[i] + shareRate[i] * second);
+            shareLeft[i] = Math.min(shareRate[i], shareLeft[i] + shareRate[i] * (now - sharesAt) / (1000.0 * MS));
         }
         sharesAt = now;
         boolean beyond = shareLeft[tenant] < 1;
@@ -225,30 +216,26 @@
     private static final double BUSY_BAND = 0.25; // below these, over which ever fewer reads get in, by chance
     private static final double PRIMARY_READ_SHARE = 0.7; // of the primary's limit; the rest is for writes
     private static final double WRITE_SHARE = 2; // of the primary's limit; late writes still have a value
-    private static final double AGAIN_COST = 4; // a second send prefers any server but the first
-    private static final double LONG_READ_RANK_COST = 3; // three out on one replica before the next gets one
+    private static final double AVOID_COST = 3; // times; where a send failed before, and a rank of long reads
 
-    private record Choice(Member to, boolean hold) {
-        static final Choice HOLD = new Choice(null, true);
-        static final Choice NONE = new Choice(null, false);
-    }
+    private static final Member HOLD = new Member(null, null, 0); // stands for a choice to wait
 
     private boolean place(Op op) {
         Group g = groups.computeIfAbsent(op.asked.group(), Group::new);
         boolean toPrimary = op.type.needs() == Needs.WRITE || op.type.needs() == Needs.FRESH;
-        Choice c = !mayStillSend(op) ? Choice.NONE : toPrimary ? primaryFor(op, g) : memberFor(op, g);
-        if (c.hold && now < holdUntil(op)) {
+        Member to = !mayStillSend(op) ? null : toPrimary ? primaryFor(op, g) : memberFor(op, g);
+        if (to == HOLD && now < holdUntil(op)) {
             g.held.add(op);
             return false;
         }
         g.held.remove(op);
-        boolean go = c.to != null && !shed(op, c.to)
-                && worthUntil(op) - now >= WORTH_SENDING * paceOf(op).usual * c.to.stretch;
+        boolean go = to != null && to != HOLD && !shed(op, to)
+                && worthUntil(op) - now >= WORTH_SENDING * paceOf(op).usual * to.stretch;
         if (op.sends == 0) {
             shedPrice += PRICE_WEIGHT * ((go ? 0 : valuePerWork(op)) - shedPrice);
         }
         if (go) {
-            send(op, c.to);
+            send(op, to);
         } else {
             finish(op);
         }
@@ -263,11 +250,7 @@
 
     private boolean mayStillSend(Op op) {
         return op.sends < permits.sendsPerOp() && (!op.mayHaveRun || op.type.repeats() == Repeats.RETRYABLE
-                || op.type.repeats() == Repeats.TOKENED && now < repeatsEnd(op));
-    }
-
-    private static long repeatsEnd(Op op) {
-        return op.firstMaybeAt + op.type.repeatWindow() - MARGIN;
+                || op.type.repeats() == Repeats.TOKENED && now < op.repeatUntil);
     }
 
     /** A tokened op that may have run goes only where its repeat is known. */
@@ -278,55 +261,47 @@
     }
 
     private long holdUntil(Op op) {
-        boolean repeat = op.mayHaveRun && op.type.repeats() == Repeats.TOKENED;
-        long end = repeat ? Math.min(worthUntil(op), repeatsEnd(op)) : worthUntil(op);
+        long end = Math.min(worthUntil(op), op.repeatUntil);
         long hopeless = op.type.lateShare() > 0 ? 0 : (long) (HOPELESS * paceOf(op).usual);
         return Math.min(end, Math.max(end - hopeless, op.arrivedAt + 2 * PATIENCE)) - BEAT;
     }
 
-    private Choice primaryFor(Op op, Group g) {
+    private Member primaryFor(Op op, Group g) {
         Member p = g.primary;
         boolean known = p != null && isIn(p) && p.trust != Trust.SILENT;
-        if (known ? !heardLately(p) : now - g.searchedAt >= SEARCH_EVERY) {
-            g.searchedAt = now;
+        if (!known || !heardLately(p)) {
             ask(g, m -> !known || m == p);
         }
         return known && heardLately(p) && trusted(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE)
-                && coldAllows(p, op) ? new Choice(p, false) : Choice.HOLD;
+                && coldAllows(p, op) ? p : HOLD;
     }
 
-    private Choice memberFor(Op op, Group g) {
+    private Member memberFor(Op op, Group g) {
         Member best = spread(op, g, m -> admits(m, op));
-        if (best == null && copies.checks() != CopyKeeping.Checks.NONE) {
+        boolean checked = copies.checks() != CopyKeeping.Checks.NONE;
+        if (best == null && checked) {
             best = spread(op, g, m -> lagsALittle(m, op));
         }
         if (best != null) {
-            return new Choice(best, false);
+            return best;
         }
         Member p = g.primary;
         if (ask(g, m -> !heardLately(m) || m != p && !admits(m, op) && now - m.positionToldAt > ASK_AGAIN)) {
-            return Choice.HOLD;
+            return HOLD;
         }
         if (p != null && isIn(p) && p.trust == Trust.WELL && heardLately(p) && hasRoom(p, PRIMARY_READ_SHARE)
                 && stretchNow(p) <= GATE * Math.max(1, p.usualStretch)
                 && notTooBusy(p, PRIMARY_BUSY) && coldAllows(p, op)) {
-            return new Choice(p, false); // also while the admitted replicas are full
+            return p; // also while the admitted replicas are full
         }
+        // Waits for room, or for a replica little too old by a report that is old itself to be asked again.
         return g.members.stream().anyMatch(m -> m != p && isIn(m) && m.trust == Trust.WELL && heardLately(m)
-                && m.busy < REPLICA_BUSY - BUSY_BAND && (admits(m, op) || mayCatchUp(m, op)))
-                ? Choice.HOLD : Choice.NONE;
-    }
-
-    /** A replica only little too old, by a report that is old itself; asking again may find it fresh in time. */
-    private boolean mayCatchUp(Member m, Op op) {
-        return op.type.needs() == Needs.BOUNDED && copies.checks() == CopyKeeping.Checks.NONE
-                && now - m.position <= 2 * op.type.stalenessBound();
+                && m.busy < REPLICA_BUSY - BUSY_BAND && (admits(m, op) || op.type.needs() == Needs.BOUNDED
+                && !checked && now - m.position <= 2 * op.type.stalenessBound())) ? HOLD : null;
     }
 
-    /**
-     * Guards against many small gateways that together crowd a server while each has next to nothing out there:
-     * the busier it says it is, the fewer reads each sends, by own chance.
-     */
+    // Guards against many small gateways that together crowd a server while each has next to nothing out there:
+    // the busier it says it is, the fewer reads each sends, by own chance.
     private boolean notTooBusy(Member m, double shut) {
         return chance.nextDouble() < (shut - m.busy) / BUSY_BAND;
     }
@@ -371,9 +346,9 @@
     // Guards against reads longer than the tightest bound, which may stop a replica's apply: all gateways put
     // them on the same few replicas, so that the others stay fresh enough for bounded reads.
     private double cost(Member m, Op op) {
-        double again = m == op.at ? AGAIN_COST : 1;
+        double again = m == op.at ? AVOID_COST : 1;
         if (longRead(op)) {
-            again *= Math.pow(LONG_READ_RANK_COST, rank(m));
+            again *= Math.pow(AVOID_COST, rank(m));
         }
         double room = Math.max(0.1, 1 - m.busy) * warmth(m);
         return again * stretchNow(m) * (m.out.size() + 1) / room * (1 + 0.1 * chance.nextDouble());
@@ -385,8 +360,7 @@
 
     /** Place among the group's replicas by id, which is the same at every gateway. */
     private long rank(Member m) {
-        Group g = groups.get(m.group);
-        return g.members.stream().filter(o -> o != g.primary && isIn(o) && o.trust == Trust.WELL
+        return m.group.members.stream().filter(o -> o != m.group.primary && isIn(o) && o.trust == Trust.WELL
                 && o.id.text().compareTo(m.id.text()) < 0).count();
     }
 
@@ -422,13 +396,10 @@
             return true;
         }
         double work = paceOf(op).usual;
-        OptionalDouble peers = members.values().stream()
+        double peers = members.values().stream()
                 .filter(p -> p != m && isIn(p) && p.trust == Trust.WELL && warmth(p) >= 1)
-                .mapToDouble(this::sentWork).average();
-        if (peers.isEmpty()) {
-            return m.out.isEmpty();
-        }
-        double allowed = COLD_SHARE * pledges.overloadMultiple() * warmth * peers.getAsDouble();
+                .mapToDouble(this::sentWork).average().orElse(firstLimit * work);
+        double allowed = COLD_SHARE * pledges.overloadMultiple() * warmth * peers;
         double windows = (now - Math.max(m.coldSince, m.coldCreditAt)) / (double) pledges.overloadWindow();
         if (m.coldCreditAt < m.coldSince) {
             m.coldCredit = chance.nextDouble() * work; // so that all gateways' first ops don't come at once
@@ -448,7 +419,7 @@
     // -- Sends and their ends
 
     private static final double RESENDS_PER_OP = 0.25; // budget of further sends; a storm is several an op
-    private static final double RESENDS_MOST = 40; // about what one server holds when it falls silent
+    private static final double SAVED_MOST = 40; // in this and the like; what one server holds when it dies
 
     private void send(Op op, Member m) {
         long until = op.type.repeats() == Repeats.RETRYABLE ? worthUntil(op) : op.asked.timeoutAt();
@@ -486,16 +457,17 @@
             live.sendOut = -1;
             next(live, m, e.ending());
         }
-        release(groups.get(m.group));
+        release(m.group);
         if (now < scarceUntil && m.out.isEmpty()) {
-            closeIdle(m);
+            out.add(new Action.CloseIdle(m.id));
         }
     }
 
     private void next(Op op, Member m, Ending ending) {
         if (!ending.provesNotRun && !op.mayHaveRun) {
             op.mayHaveRun = true;
-            op.firstMaybeAt = op.sentAt;
+            op.repeatUntil = op.type.repeats() == Repeats.TOKENED
+                    ? op.sentAt + op.type.repeatWindow() - MARGIN : op.repeatUntil;
             op.firstMaybeServer = m;
         }
         boolean wrongRole = ending == Ending.TURNED_AWAY && op.type.needs() == Needs.WRITE;
@@ -525,7 +497,7 @@
     }
 
     private void callOff(Op op) {
-        if (op.sendOut >= 0 && permits.callOff() && !op.calledOff && !op.begun) {
+        if (op.sendOut >= 0 && permits.callOff() && !op.calledOff) {
             op.calledOff = true;
             out.add(new Action.CallOff(op.asked.op(), op.sendOut));
         }
@@ -558,16 +530,12 @@
 
     private static final double PROBE_SHARE_OF_BOUND = 1 / 3.0; // the design's starting value
     private static final long PROBE_EVERY_UNBOUND = 1000 * MS; // where no read has a bound; roles only
-    private static final long SEARCH_EVERY = 100 * MS; // one member after the other; a takeover lasts seconds
     private static final double PROBES_PER_OP = 0.2; // on the timer; more cost more than they bring
-    private static final double PROBES_MOST = 20; // a start's first round
     private static final double FIRST_PROBES = 16; // of a new server, over all gateways; few fit at once
     private static final long HEARD_LASTS = 2000 * MS; // no op to a server not heard of for longer
     private static final long ASK_AGAIN = 150 * MS; // about how often reports are made anew
-    private static final long AT_ONCE = 50 * MS; // a connect that fails sooner was refused, not slow
-    private static final long CONNECTS_REST = 2000 * MS; // no more ops at once than before, after a failed connect
     private static final long SCARCE_LASTS = 10_000 * MS; // after the last failed connect that a probe outlived
-    private static final long PATIENCE = 50 * MS; // a probe takes a few; then the next member is asked
+    private static final long PATIENCE = 50 * MS; // what needs no work takes a few: probes, refused connects
     private static final long REPORT_AGE = 300 * MS; // reports may be this old when they come
 
     private void probe(Member m) {
@@ -583,10 +551,8 @@
         return now - m.heardAt <= HEARD_LASTS;
     }
 
-    /**
-     * Guards against a price of probes that grows with the gateways: one with few ops asks a server only when an
-     * op needs its word. True while such a word is awaited.
-     */
+    // Guards against a price of probes that grows with the gateways: one with few ops asks a server only when an
+    // op needs its word. True while such a word is awaited.
     private boolean ask(Group g, Predicate<Member> who) {
         boolean others = g.members.stream().anyMatch(Logic::promising);
         Member pick = null;
@@ -612,7 +578,6 @@
 
     /** Guards against dead servers, few connections and slow handshakes alike; the next probe tells which. */
     private void notConnected(Member m, Op op, boolean atOnce) {
-        m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size())); // what is open already is kept
         m.connectFailedAt = now;
         m.refusesConnects = atOnce;
         if (m.answeredAt < op.sentAt) {
@@ -621,22 +586,16 @@
         }
     }
 
-    /**
-     * Guards against servers that live but take few connections: idle ones are given up, here and elsewhere, so
-     * that other gateways find room; a handshake costs less than an op that finds none.
-     */
+    // Guards against servers that live but take few connections: idle ones are given up, here and elsewhere, so
+    // that other gateways find room; a handshake costs less than an op that finds none.
     private void connectionsScarce(Member m) {
         if (now > scarceUntil) {
             log("connections scarce: " + m.id.text() + " answers probes but takes no connection");
-            members.values().stream().filter(o -> o.out.isEmpty()).forEach(this::closeIdle);
+            members.values().stream().filter(o -> o.out.isEmpty()).forEach(o -> out.add(new Action.CloseIdle(o.id)));
         }
         scarceUntil = now + SCARCE_LASTS;
     }
 
-    private void closeIdle(Member m) {
-        out.add(new Action.CloseIdle(m.id));
-    }
-
     /** Heard before and not silent now: no op waits for the word of a server that may be none. */
     private static boolean promising(Member m) {
         return isIn(m) && m.heardAt != Telling.UNTOLD && m.trust != Trust.SILENT;
@@ -664,7 +623,7 @@
         } else if (now - m.answeredAt > SILENCE_LEAST) {
             deadSign(m, "probes unanswered");
         }
-        release(groups.get(m.group));
+        release(m.group);
     }
 
     /** Guards against old reports that revive a lost role: a primary's position tells when it said so. */
@@ -688,7 +647,7 @@
         }
         m.role = t.role();
         m.roleToldAt = toldAt;
-        Group g = groups.get(m.group);
+        Group g = m.group;
         Member was = g.primary;
         if (m.role == Role.PRIMARY && (was == null || was.role != Role.PRIMARY || was.roleToldAt < toldAt)) {
             g.primary = m;
@@ -719,27 +678,23 @@
             out.add(new Action.FollowList());
             askListAt = Long.MAX_VALUE;
         }
-        List<Member> due = new ArrayList<>();
+        Member due = null;
+        long oldest = now - probeEvery;
         for (Member m : members.values()) {
             if (m.trust != Trust.SILENT) {
                 lookForSilence(m);
             }
-            if (m.trust == Trust.FAILING && now >= m.retryAt) {
-                trust(m, Trust.TRIAL, "after " + m.penalty / MS + " ms");
-            }
-            boolean inUse = isIn(m) && now - groups.get(m.group).askedAt < probeEvery;
+            boolean inUse = isIn(m) && now - m.group.askedAt < probeEvery;
             if (inUse && !promising(m) && now >= m.retryAt) {
                 probe(m);
-            } else if (inUse && now - Math.max(m.probedAt, m.positionToldAt) >= probeEvery) {
-                due.add(m);
+            } else if (inUse && Math.max(m.probedAt, m.positionToldAt) <= oldest) {
+                due = m;
+                oldest = Math.max(m.probedAt, m.positionToldAt);
             }
         }
-        due.sort(Comparator.comparingLong(m -> Math.max(m.probedAt, m.positionToldAt)));
-        for (Member m : due) {
-            if (probesLeft >= 1) {
-                probesLeft--;
-                probe(m);
-            }
+        if (due != null && probesLeft >= 1) {
+            probesLeft--;
+            probe(due);
         }
         groups.values().forEach(this::release);
     }
@@ -765,16 +720,19 @@
     private void learnHealth(Member m, Op op, Happening.SendEnded e) {
         Ending ending = e.ending();
         if (ending == Ending.NOT_CONNECTED) {
-            notConnected(m, op, e.took() < AT_ONCE);
+            notConnected(m, op, e.took() < PATIENCE);
         } else if (ending == Ending.BROKEN_OFF) {
             deadSign(m, "connections lost");
         } else if (ending != Ending.TIMED_OUT && ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT) {
             m.answeredAt = m.heardAt = now;
             m.deadSigns = 0;
-            if (m.trust == Trust.SILENT) {
+            if (m.trust == Trust.SILENT && m.failShare < FAIL_SHARE) {
                 returns(m, true, "answers");
             }
         }
+        if (ending == Ending.NOT_CONNECTED || ending == Ending.FULL) {
+            m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size())); // what is open already is kept
+        }
         switch (ending) {
             case ACKED -> {
                 learnPace(m, op, e.took());
@@ -788,7 +746,6 @@
                 failing(m);
             }
             case TIMED_OUT -> learnPace(m, op, Math.max(e.took(), (long) (paceOf(op).usual * m.stretch)));
-            case FULL -> m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size()));
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
                 if (op.type.needs() == Needs.WRITE) {
@@ -817,7 +774,7 @@
         m.pressure += STRETCH_WEIGHT * (Math.min(3, part) - m.pressure);
         if (m.pressure > PRESSURE_WANTED) {
             m.limit = Math.max(leastLimit, m.limit - LIMIT_STEP);
-        } else if (m.out.size() + 1 >= m.limit * 0.7 && now - m.connectFailedAt > CONNECTS_REST) {
+        } else if (m.out.size() + 1 >= m.limit * 0.7 && now - m.connectFailedAt > HEARD_LASTS) {
             m.limit += LIMIT_STEP;
         }
     }
@@ -863,17 +820,15 @@
 
     /** Guards against servers that fail fast and so draw traffic; never leaves the group with too few. */
     private void failing(Member m) {
-        Group g = groups.get(m.group);
-        long well = g.members.stream().filter(o -> o != m && isIn(o) && o.trust == Trust.WELL).count();
-        if (m.failShare >= FAIL_SHARE && m != g.primary && well * 2 >= g.members.size()
-                && (m.trust == Trust.WELL || m.trust == Trust.TRIAL)) {
-            trust(m, Trust.FAILING, "fails " + Math.round(m.failShare * 100) + " %");
+        long well = m.group.members.stream().filter(o -> o != m && isIn(o) && o.trust == Trust.WELL).count();
+        if (m.failShare >= FAIL_SHARE && m != m.group.primary && well * 2 >= m.group.members.size()) {
+            silent(m, "fails " + Math.round(m.failShare * 100) + " %");
         }
     }
 
     private void trust(Member m, Trust to, String why) {
         log("server " + m.id.text() + " " + m.trust + " to " + to + ": " + why);
-        if (to == Trust.SILENT || to == Trust.FAILING) {
+        if (to == Trust.SILENT) {
             m.penalty = m.heardAt == Telling.UNTOLD ? PENALTY_MOST
                     : m.trust == Trust.TRIAL ? Math.min(PENALTY_MOST, m.penalty * 2) : PENALTY_FIRST;
             m.retryAt = now + m.penalty;
@@ -881,7 +836,7 @@
         m.trust = to;
         m.trustSince = now;
         m.trialsPassed = 0;
-        m.failShare = Math.min(m.failShare, FAIL_SHARE / 2);
+        m.failShare = to == Trust.TRIAL ? Math.min(m.failShare, FAIL_SHARE / 2) : m.failShare;
     }
 
     private void log(String text) {
--- a/src/main/java/ploverdale/state/Group.java
+++ b/src/main/java/ploverdale/state/Group.java
@@ -14,7 +14,6 @@
     public final Set<Op> held = new LinkedHashSet<>();
     public Member primary;
     public long askedAt = Telling.UNTOLD;
-    public long searchedAt = Telling.UNTOLD;
 
     public Group(GroupId id) {
         this.id = id;
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import ploverdale.model.GroupId;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
@@ -12,10 +11,10 @@
 /** All that this gateway holds about one database server. Times in tenths of a millisecond. */
 public final class Member {
     /** How far this server is trusted. */
-    public enum Trust { WELL, TRIAL, FAILING, SILENT }
+    public enum Trust { WELL, TRIAL, SILENT }
 
     public final ServerId id;
-    public GroupId group;
+    public final Group group;
     public ZoneId zone;
     public Listing.Stage stage = Listing.Stage.IN;
     public boolean drainSeen;
@@ -55,7 +54,9 @@
     public double sentWork;
     public long sentWorkAt;
 
-    public Member(ServerId id) {
+    public Member(ServerId id, Group group, double limit) {
         this.id = id;
+        this.group = group;
+        this.limit = limit;
     }
 }
--- a/src/main/java/ploverdale/state/Op.java
+++ b/src/main/java/ploverdale/state/Op.java
@@ -17,9 +17,8 @@
     public int sendOut = -1;
     public long sentAt;
     public boolean calledOff;
-    public boolean begun;
     public boolean mayHaveRun;
-    public long firstMaybeAt;
+    public long repeatUntil = Long.MAX_VALUE;
     public Member firstMaybeServer;
 
     public Op(OpArrived asked, OpType type, long arrivedAt, long targetAt) {
