--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -214,6 +214,7 @@
     private static final double PRIMARY_BUSY = 0.95; // told busy part of its cores, with the same effect
     private static final double REPLICA_BUSY = 1.05; // the same for a replica; queues grow from 0.8 on
     private static final double BUSY_BAND = 0.25; // below these, over which ever fewer reads get in, by chance
+    private static final long OWN_NEWS = 250 * MS; // own latencies no older than this are better news than its word
     private static final double PRIMARY_READ_SHARE = 0.7; // of the primary's limit; the rest is for writes
     private static final double WRITE_SHARE = 2; // of the primary's limit; late writes still have a value
     private static final double AVOID_COST = 3; // times; where a send failed before, and a rank of long reads
@@ -301,9 +302,9 @@
     }
 
     // Guards against many small gateways that together crowd a server while each has next to nothing out there:
-    // the busier it says it is, the fewer reads each sends, by own chance.
+    // the busier it says it is, the fewer reads each sends, by own chance, unless it has newer answers of its own.
     private boolean notTooBusy(Member m, double shut) {
-        return chance.nextDouble() < (shut - m.busy) / BUSY_BAND;
+        return now - m.stretchAt < OWN_NEWS || chance.nextDouble() < (shut - m.busy) / BUSY_BAND;
     }
 
     /** The cheapest trusted replica with room among those let in. */
@@ -350,8 +351,8 @@
         if (longRead(op)) {
             again *= Math.pow(AVOID_COST, rank(m));
         }
-        double room = Math.max(0.1, 1 - m.busy) * warmth(m);
-        return again * stretchNow(m) * (m.out.size() + 1) / room * (1 + 0.1 * chance.nextDouble());
+        double room = now - m.stretchAt < OWN_NEWS ? 1 : Math.max(0.1, 1 - m.busy);
+        return again * stretchNow(m) * (m.out.size() + 1) / (room * warmth(m)) * (1 + 0.1 * chance.nextDouble());
     }
 
     private boolean longRead(Op op) {
