--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -287,7 +287,7 @@
             return best;
         }
         Member p = g.primary;
-        if (ask(g, m -> !heardLately(m) || m != p && !admits(m, op) && now - m.positionToldAt > ASK_AGAIN)) {
+        if (ask(g, m -> !heardLately(m) || !checked && m != p && !admits(m, op) && now - m.positionToldAt > ASK_AGAIN)) {
             return HOLD;
         }
         if (p != null && isIn(p) && p.trust == Trust.WELL && heardLately(p) && hasRoom(p, PRIMARY_READ_SHARE)
