Tell lost answers from load: a lone time-out counts little while answers come in time

Every server stood at its least limit: time-outs had been read as latency near the target. Told from overload by the answered ones being as quick as ever. Change: one or two time-outs in a row count 1.5 times the usual while answers take under 1.5 times the usual. Harm: a server just turned slow is noticed a few answers later.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -564,7 +564,8 @@
                 return true;
             }
             double luck = chance.nextDouble();
-            if (wanted && !m.probeOut && now >= m.retryAt && now - m.probedAt > ASK_AGAIN && luck >= most) {
+            boolean due = now - m.probedAt > ASK_AGAIN && (!others || now >= m.retryAt);
+            if (wanted && !m.probeOut && due && luck >= most) {
                 pick = m;
                 most = luck;
             }
@@ -619,7 +620,7 @@
                 returns(m, false, "answers probes");
             }
         } else if (m.trust == Trust.SILENT) {
-            m.penalty = Math.min(PENALTY_MOST, m.penalty * 2);
+            m.penalty = m.heardAt == Telling.UNTOLD ? PENALTY_MOST : Math.min(PENALTY_MOST / 4, m.penalty * 2);
             m.retryAt = now + m.penalty;
         } else if (now - m.answeredAt > SILENCE_LEAST) {
             deadSign(m, "probes unanswered");
@@ -713,6 +714,7 @@
     private static final double FAIL_SHARE = 0.35; // of failures, beyond which a server is left out
     private static final long USUAL_RISES_IN = 60_000 * MS; // slow, so that trouble does not become usual
     private static final double STRETCH_WEIGHT = 0.1; // of the newest latency; work varies as its mean
+    private static final double LOST_BELOW = 1.5; // times usual that answers take; more is load, not loss
     private static final double STRETCH_MOST = 8; // one answer counts for no more
     private static final long STRETCH_FADES_IN = 5000 * MS; // then a slow server is tried again
     private static final double PRESSURE_WANTED = 0.35; // mean latency as part of the target; tails are long
@@ -736,6 +738,8 @@
         }
         switch (ending) {
             case ACKED -> {
+                m.missedInARow = 0;
+                m.ackedStretch += STRETCH_WEIGHT * (e.took() / paceOf(op).usual - m.ackedStretch);
                 learnPace(m, op, e.took());
                 m.failShare *= 1 - FAIL_WEIGHT;
                 if (m.trust == Trust.TRIAL && ++m.trialsPassed >= TRIALS) {
@@ -746,7 +750,13 @@
                 m.failShare += FAIL_WEIGHT * (1 - m.failShare);
                 failing(m);
             }
-            case TIMED_OUT -> learnPace(m, op, Math.max(e.took(), (long) (paceOf(op).usual * m.stretch)));
+            case TIMED_OUT -> {
+                // Guards against lost answers taken for slow ones: where the others come in time, one or two in a row
+                // count little more than those.
+                boolean lost = ++m.missedInARow <= 2 && m.ackedStretch < LOST_BELOW;
+                double like = paceOf(op).usual * m.stretch;
+                learnPace(m, op, (long) (lost ? Math.min(e.took(), LOST_BELOW * like) : Math.max(e.took(), like)));
+            }
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
                 if (op.type.needs() == Needs.WRITE) {
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -38,6 +38,8 @@
     public long penalty;
     public int trialsPassed;
     public int deadSigns;
+    public int missedInARow;
+    public double ackedStretch = 1;
     public double failShare;
     public long coldSince = Telling.UNTOLD;
     public double coldCredit;
