Where answers get lost, wait three usual latencies and send again

Change: once the share of time-outs among answers that are otherwise in time passes 0.08, a retryable or tokened op's send waits three usual latencies and, if there is time for another, is sent again (tokened only in window and group, as before). Harm: work done twice where the tail of long ops is taken for loss.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -420,10 +420,19 @@
     // -- Sends and their ends
 
     private static final double RESENDS_PER_OP = 0.25; // budget of further sends; a storm is several an op
+    private static final double LOST_SHARE = 0.08; // of answers; long ops alone miss one in twenty
+    private static final double LOST_WEIGHT = 0.05; // of the newest answer in that share
+    private static final double LOST_PATIENCE = 3; // usual latencies, where answers get lost
     private static final double SAVED_MOST = 40; // in this and the like; what one server holds when it dies
 
     private void send(Op op, Member m) {
         long until = op.type.repeats() == Repeats.RETRYABLE ? worthUntil(op) : op.asked.timeoutAt();
+        // Guards against servers whose answers get lost while they work: asks again while there is time for it.
+        long early = now + (long) (LOST_PATIENCE * paceOf(op).usual * stretchNow(m));
+        if (m.lostShare > LOST_SHARE && op.type.repeats() != Repeats.NON_RETRYABLE
+                && worthUntil(op) - early > paceOf(op).usual * stretchNow(m)) {
+            until = Math.min(until, early);
+        }
         out.add(new Action.Send(op.asked.op(), m.id, Math.max(1, until - now)));
         op.sendOut = op.sends++;
         op.at = m;
@@ -739,6 +748,7 @@
         switch (ending) {
             case ACKED -> {
                 m.missedInARow = 0;
+                m.lostShare *= 1 - LOST_WEIGHT;
                 m.ackedStretch += STRETCH_WEIGHT * (e.took() / paceOf(op).usual - m.ackedStretch);
                 learnPace(m, op, e.took());
                 m.failShare *= 1 - FAIL_WEIGHT;
@@ -754,6 +764,7 @@
                 // Guards against lost answers taken for slow ones: where the others come in time, one or two in a row
                 // count little more than those.
                 boolean lost = ++m.missedInARow <= 2 && m.ackedStretch < LOST_BELOW;
+                m.lostShare += lost ? LOST_WEIGHT * (1 - m.lostShare) : 0;
                 double like = paceOf(op).usual * m.stretch;
                 learnPace(m, op, (long) (lost ? Math.min(e.took(), LOST_BELOW * like) : Math.max(e.took(), like)));
             }
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -39,6 +39,7 @@
     public int trialsPassed;
     public int deadSigns;
     public int missedInARow;
+    public double lostShare;
     public double ackedStretch = 1;
     public double failShare;
     public long coldSince = Telling.UNTOLD;
