Where replicas check reads, try one that reports say is too old instead of refusing

Evidence: probes of one server told a position 5.2 s old while its answers in the same seconds told one 8 ms old, so the reports were old, not the replicas; but with no reads sent no answer came to say so, and the primaries were full. Change: a read that would be refused tries a replica that turned none away for a second; replicas there check reads themselves, so nothing stale is answered.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -100,8 +100,6 @@
         beat();
     }
 
-    // -- The list of servers
-
     private void listTold(Happening.ListTold told) {
         if (told.failed()) {
             askListAt = now + 500 * MS + chance.nextInt(1000) * MS; // by chance, so that gateways don't meet
@@ -144,8 +142,6 @@
         }
     }
 
-    // -- What an op asks for
-
     private void arrived(Happening.OpArrived a) {
         OpType type = opTypes.get(a.type().index());
         long target = now + type.latencyTarget() + (long) (type.targetPerWork() * a.expectedWork())
@@ -178,7 +174,6 @@
         return shareLeft[tenant] < 1 || shareLeft[tenant]-- < 1;
     }
 
-    /** The last moment at which an answer to this op is worth anything. */
     private long worthUntil(Op op) {
         long target = op.type.lateShare() > 0 ? Long.MAX_VALUE : op.targetAt;
         return Math.min(op.asked.timeoutAt(), target) - MARGIN;
@@ -187,11 +182,11 @@
     // -- Where an op goes: role, freshness, drain/cold/health, spread, worth sending
 
     private static final double WORTH_SENDING = 0.5; // of usual latency must be left; many ops are shorter
-    private static final double PRICE_WEIGHT = 0.02; // of the newest op in what refusals cost
     private static final double FEW_TAKE = 2.5; // times usual latency, which few ops of a good server take
     private static final double PRIMARY_BUSY = 0.95; // told busy part of its cores, with the same effect
     private static final double REPLICA_BUSY = 1.05; // the same for a replica; queues grow from 0.8 on
     private static final double BUSY_BAND = 0.25; // below these; over it ever fewer reads get in
+    private static final long GUESS_AGAIN = 1000 * MS; // a turn-away costs a wait and a resend, and tells
     private static final double PRIMARY_READ_SHARE = 0.7; // of the primary's limit; the rest is for writes
     private static final double WRITE_SHARE = 2; // of the primary's limit; late writes still have a value
     private static final double AVOID_COST = 3; // times; where a send failed before, and a rank of long reads
@@ -200,10 +195,9 @@
 
     private boolean place(Op op) {
         Group g = groups.computeIfAbsent(op.asked.group(), Group::new);
-        Needs needs = op.type.needs();
         boolean may = op.sends < permits.sendsPerOp() && (!op.mayHaveRun
                 || op.type.repeats() != Repeats.NON_RETRYABLE && now < op.repeatUntil);
-        boolean toPrimary = needs == Needs.WRITE || needs == Needs.FRESH;
+        boolean toPrimary = op.type.needs() == Needs.WRITE || op.type.needs() == Needs.FRESH;
         Member to = !may ? null : toPrimary ? primaryFor(op, g) : memberFor(op, g);
         if (to == HOLD && now < holdUntil(op)) {
             g.held.add(op);
@@ -213,7 +207,7 @@
         boolean go = to != null && to != HOLD && !shed(op, to)
                 && worthUntil(op) - now >= WORTH_SENDING * op.pace.usual * to.stretch;
         if (op.sends == 0) {
-            shedPrice += PRICE_WEIGHT * ((go ? 0 : valuePerWork(op)) - shedPrice);
+            shedPrice += NEWEST / 5 * ((go ? 0 : valuePerWork(op)) - shedPrice);
         }
         if (go) {
             send(op, to);
@@ -255,9 +249,7 @@
     private Member memberFor(Op op, Group g) {
         Member best = spread(op, g, m -> admits(m, op));
         boolean checked = copies.checks() != CopyKeeping.Checks.NONE;
-        if (best == null && checked) {
-            best = spread(op, g, m -> lagsALittle(m, op));
-        }
+        best = best == null && checked ? spread(op, g, m -> lagsALittle(m, op)) : best;
         if (best != null) {
             return best;
         }
@@ -270,6 +262,12 @@
                 && stretchNow(p) <= FEW_TAKE && notTooBusy(p, PRIMARY_BUSY) && coldAllows(p, op)) {
             return p; // also while the admitted replicas are full
         }
+        // Guards against old reports: where replicas check reads, one a second tries each instead of a refusal.
+        Member guess = checked ? spread(op, g, m -> m != op.at && now - m.turnedAwayAt > GUESS_AGAIN) : null;
+        if (guess != null) {
+            guess.turnedAwayAt = now; // until it answers
+            return guess;
+        }
         // Waits for room, or for a replica little too old by a report that is old itself to be asked again.
         return g.members.stream().anyMatch(m -> m != p && m.isIn() && !m.silent && heardLately(m)
                 && m.busy < REPLICA_BUSY - BUSY_BAND && (admits(m, op) || op.type.needs() == Needs.BOUNDED
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -145,6 +145,64 @@
         assertThat(checked.sends(checked.ask(FakeHost.VIEW))).containsExactly("p");
     }
 
+    @Test
+    void whereReportsAreOldButReplicasCheckReadsOneReadASecondAsksAReplicaInsteadOfARefusal() {
+        FakeHost checked = new FakeHost(CopyKeeping.Checks.WAITS, false, true, 1);
+        checked.list(true, "r1");
+        checked.probed("r1", Role.REPLICA, checked.nowMs - 5200);
+        OpId guess = checked.ask(FakeHost.VIEW);
+        assertThat(checked.sends(guess)).containsExactly("r1");
+        assertThat(checked.busyReplies(checked.ask(FakeHost.VIEW))).isEqualTo(1);
+        checked.nowMs += 50;
+        checked.ends(guess, 0, "r1", Ending.ACKED, note(Role.REPLICA, checked.nowMs - 10));
+        assertThat(checked.sends(checked.ask(FakeHost.VIEW))).containsExactly("r1");
+    }
+
+    @Test
+    void aRefusedConnectAtAServerThatAnswersProbesMakesIdleConnectionsBeGivenUp() {
+        OpId read = host.ask(FakeHost.VIEW);
+        String server = host.sends(read).get(0);
+        host.tell(new Happening.SendEnded(read, 0, new ServerId(server), Ending.NOT_CONNECTED, 10, false, null, null));
+        assertThat(host.probes(server)).isEqualTo(2);
+        host.probed(server, Role.REPLICA, host.nowMs);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.ACKED, null);
+        assertThat(host.acts).contains(new Action.CloseIdle(new ServerId("p")));
+    }
+
+    @Test
+    void aSlowFailedConnectGivesUpNoIdleConnection() {
+        OpId read = host.ask(FakeHost.VIEW);
+        String server = host.sends(read).get(0);
+        host.tell(new Happening.SendEnded(read, 0, new ServerId(server), Ending.NOT_CONNECTED, 2500, false, null, null));
+        host.probed(server, Role.REPLICA, host.nowMs);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.ACKED, null);
+        assertThat(host.acts).noneMatch(Action.CloseIdle.class::isInstance);
+    }
+
+    @Test
+    void whereAnswersGetLostWhileOthersComeInTimeASendIsMadeAgainBeforeItsOpIsWorthless() {
+        for (int i = 0; i < 40; i++) {
+            OpId op = host.ask(FakeHost.SUBMIT);
+            host.ends(op, 0, "p", i % 4 == 0 ? Ending.TIMED_OUT : Ending.ACKED, null);
+        }
+        OpId read = host.ask(FakeHost.FRESH);
+        assertThat(host.acts).anyMatch(a -> a instanceof Action.Send s && s.op().equals(read) && s.timeLimit() < 3500);
+        assertThat(host.sends(host.ask(FakeHost.SUBMIT))).as("and its limit is kept").containsExactly("p");
+    }
+
+    @Test
+    void aBusyServersReadsThinOutWhereOwnAnswersAreOld() {
+        FakeHost small = new FakeHost(CopyKeeping.Checks.NONE, false, true, 100);
+        small.list(true, "r1");
+        small.tell(new Happening.ProbeEnded(new ServerId("r1"), Ending.ACKED,
+                new Telling(Role.REPLICA, small.nowMs * 10, 1.1)));
+        assertThat(small.sends(small.ask(FakeHost.HISTORY))).isEmpty();
+        small.nowMs += 200;
+        small.tell(new Happening.ProbeEnded(new ServerId("r1"), Ending.ACKED,
+                new Telling(Role.REPLICA, small.nowMs * 10, 0.5)));
+        assertThat(small.sends(small.ask(FakeHost.HISTORY))).containsExactly("r1");
+    }
+
     @Test
     void aWriteTurnedAwayMarksThatMemberNotPrimaryAndWaitsForProbes() {
         OpId write = host.ask(FakeHost.SUBMIT);
