Measure the cold budget by what peers acked, and heed a cold server's own busy share

Cause: the budget was a part of what peers were sent, and in the burst they were sent far more than they answered.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -262,7 +262,7 @@
                 && stretchNow(p) <= FEW_TAKE && notTooBusy(p, PRIMARY_BUSY) && coldAllows(p, op)) {
             return p; // also while the admitted replicas are full
         }
-        // Guards against old reports: where replicas check reads, one a second tries each instead of a refusal.
+        // Guards against old reports: where replicas check reads, one a second tries each, not a refusal.
         Member guess = checked ? spread(op, g, m -> m != op.at && now - m.turnedAwayAt > GUESS_AGAIN) : null;
         if (guess != null) {
             guess.turnedAwayAt = now; // until it answers
@@ -339,7 +339,7 @@
     }
 
     // Guards against all gateways together pushing a cold server over: each sends it no more than its present
-    // capacity's part of what it sends a warm peer, so the sum keeps that part of what peers take. Parts of
+    // capacity's part of what a warm peer takes from it, so the sum keeps that part of what peers take. Parts of
     // an op add up as credit, from a start by chance, for gateways that send less than an op a window.
     private boolean coldAllows(Member m, Op op) {
         double warmth = warmth(m);
@@ -349,7 +349,7 @@
         double work = op.pace.usual;
         double peers = members.values().stream()
                 .filter(p -> p != m && p.isIn() && !p.silent && warmth(p) >= 1)
-                .mapToDouble(this::sentWork).average().orElse(firstLimit * work);
+                .mapToDouble(this::takenWork).average().orElse(firstLimit * work);
         double allowed = COLD_SHARE * pledges.overloadMultiple() * warmth * peers;
         double windows = (now - Math.max(m.coldSince, m.coldCreditAt)) / (double) pledges.overloadWindow();
         if (m.coldCreditAt < m.coldSince) {
@@ -357,13 +357,13 @@
         }
         m.coldCredit = Math.min(m.coldCredit + allowed * windows, Math.max(work, allowed));
         m.coldCreditAt = now;
-        return m.coldCredit >= work;
+        return m.coldCredit >= work && m.busy < REPLICA_BUSY - BUSY_BAND;
     }
 
-    private double sentWork(Member m) {
-        m.sentWork *= Math.exp(-(now - m.sentWorkAt) / (double) Math.max(MS, pledges.overloadWindow()));
-        m.sentWorkAt = now;
-        return m.sentWork;
+    private double takenWork(Member m) {
+        m.takenWork *= Math.exp(-(now - m.takenWorkAt) / (double) Math.max(MS, pledges.overloadWindow()));
+        m.takenWorkAt = now;
+        return m.takenWork;
     }
 
     // -- Sends and their ends
@@ -386,8 +386,6 @@
         op.sentAt = now;
         op.calledOff = false;
         m.out.put(op.asked.op(), op);
-        sentWork(m);
-        m.sentWork += op.pace.usual;
         m.coldCredit -= op.pace.usual;
     }
 
@@ -647,9 +645,10 @@
         switch (ending) {
             case ACKED -> {
                 m.missedInARow = 0;
+                m.takenWork = takenWork(m) + op.pace.usual;
                 m.lostShare *= 1 - NEWEST;
                 m.ackedStretch += NEWEST * (e.took() / op.pace.usual - m.ackedStretch);
-                learnPace(m, op, e.took());
+                learnPace(m, op, e.took(), e.took());
                 m.failShare *= 1 - NEWEST;
             }
             case ERRORED, BROKEN_OFF, NOT_CONNECTED -> {
@@ -665,8 +664,8 @@
                 boolean lost = ++m.missedInARow <= 2 && m.ackedStretch < LOST_BELOW;
                 m.lostShare += lost ? NEWEST * (1 - m.lostShare) : 0;
                 double like = op.pace.usual * m.stretch;
-                double took = lost ? Math.min(e.took(), LOST_BELOW * like) : Math.max(e.took(), like);
-                learnPace(m, op, (long) took);
+                long took = (long) Math.max(e.took(), like);
+                learnPace(m, op, took, lost ? Math.min(took, (long) (LOST_BELOW * like)) : took);
             }
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
@@ -678,8 +677,8 @@
         }
     }
 
-    /** Latency as a multiple of the op type's usual, and as a part of its target, which moves the limit. */
-    private void learnPace(Member m, Op op, long took) {
+    /** Latency as a multiple of the op type's usual; load, as a part of the target, moves the limit. */
+    private void learnPace(Member m, Op op, long took, long load) {
         Pace p = op.pace;
         p.recent += Math.max(1.0 / ++p.samples, 0.02) * (took - p.recent);
         double slow = Math.min(1, (now - p.at) / (double) USUAL_RISES_IN);
@@ -690,7 +689,7 @@
         m.stretch = stretchNow(m) + NEWEST * (stretch - stretchNow(m));
         m.stretchAt = now;
 
-        double part = took / (double) Math.max(1, op.targetAt - op.arrivedAt);
+        double part = load / (double) Math.max(1, op.targetAt - op.arrivedAt);
         m.pressure += NEWEST * (Math.min(3, part) - m.pressure);
         if (m.pressure > PRESSURE_WANTED) {
             m.limit = Math.max(leastLimit, m.limit - LIMIT_STEP);
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -51,8 +51,8 @@
     public double busy;
     public double stretch = 1;
     public long stretchAt;
-    public double sentWork;
-    public long sentWorkAt;
+    public double takenWork;
+    public long takenWorkAt;
 
     public Member(ServerId id, Group group, double limit) {
         this.id = id;
