--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -203,6 +203,60 @@
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).containsExactly("r1");
     }
 
+    @Test
+    void aColdServerGetsPartsOfAnOpFromManySmallGatewaysAndNotAWholeOneFromEach() {
+        int cold = 0;
+        for (int i = 0; i < 100; i++) {
+            FakeHost small = new FakeHost(CopyKeeping.Checks.NONE, false, true, 100 + i);
+            small.list(true, "r1", "r2");
+            small.levelled("r1", "r2");
+            small.ends(small.ask(FakeHost.HISTORY), 0, "r2", Ending.ACKED, null);
+            small.listed("r1", Stage.IN, small.nowMs);
+            for (int s = 0; s < 4; s++) {
+                OpId read = small.ask(FakeHost.HISTORY);
+                cold += small.sends(read).contains("r1") ? 1 : 0;
+                small.nowMs += 250;
+            }
+        }
+        assertThat(cold).isBetween(1, 50);
+    }
+
+    @Test
+    void whereNobodyElseOfAGroupIsLeftASilentMemberIsAskedWithoutWaitingForItsNextTry() {
+        FakeHost cut = new FakeHost();
+        cut.list(true, "r1");
+        cut.levelled("r1");
+        cut.nowMs += 3000;
+        for (int i = 0; i < 6; i++) {
+            cut.unanswered("r1");
+        }
+        cut.nowMs += 200;
+        long before = cut.probes("r1");
+        cut.ask(FakeHost.HISTORY);
+        assertThat(cut.probes("r1")).isEqualTo(before + 1);
+    }
+
+    @Test
+    void whatMakesNoSenseChangesNothing() {
+        int before = host.acts.size();
+        host.tell(new Happening.PeerMessage(3, "6869zz"));
+        host.tell(new Happening.ProbeEnded(new ServerId("stranger"), Ending.ACKED, note(Role.PRIMARY, host.nowMs)));
+        host.ends(new OpId("none"), 0, "stranger", Ending.ACKED, null);
+        host.tell(new Happening.ClientLeft(new OpId("none")));
+        assertThat(host.acts).hasSize(before);
+        assertThat(host.sends(host.ask(FakeHost.SUBMIT))).containsExactly("p");
+    }
+
+    @Test
+    void anEmptyListTakesNoServerAwayWhereRemovalDoesNotBind() {
+        FakeHost loose = new FakeHost(CopyKeeping.Checks.NONE, false, false, 1);
+        loose.list(true, "p", "r1");
+        loose.levelled("p", "r1");
+        loose.list(true);
+        assertThat(loose.sends(loose.ask(FakeHost.VIEW))).containsExactly("r1");
+        assertThat(loose.sends(loose.ask(FakeHost.SUBMIT))).containsExactly("p");
+    }
+
     @Test
     void aWriteTurnedAwayMarksThatMemberNotPrimaryAndWaitsForProbes() {
         OpId write = host.ask(FakeHost.SUBMIT);
