--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -339,7 +339,7 @@
     }
 
     // Guards against all gateways together pushing a cold server over: each sends it no more than its present
-    // capacity's part of what a warm peer takes from it, so the sum keeps that part of all they take. Parts of
+    // capacity's part of what a warm peer takes from it, so the sum keeps that part of them all. Parts of
     // an op add up as credit, from a start by chance, for gateways that send less than an op a window.
     private boolean coldAllows(Member m, Op op) {
         double warmth = warmth(m);
