--- a/src/main/java/ploverdale/Main.java
+++ b/src/main/java/ploverdale/Main.java
@@ -1,23 +1,144 @@
 package ploverdale;
 
+import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
 import ploverdale.benchlink.BenchLink;
-import ploverdale.benchlink.WireFault;
+import ploverdale.log.Log;
+import ploverdale.net.Gateway;
+import ploverdale.net.GatewayFile;
+import ploverdale.terms.Unreadable;
 
-/** The command line. */
+/** The command line. Exit codes: 0 done, 1 failed, 2 not understood. */
 public final class Main {
+    private static final String USAGE = """
+            usage: java -jar ploverdale.jar COMMAND
+              serve [--config FILE]   one gateway; FILE, or else $EDGE_CONFIG, names its configuration
+              check [--config FILE]   reads the configuration as serve does, and tells what it says
+              benchlink               the decisions on the simulator's wire, on standard input and output
+              version                 the version
+              help                    this text""";
+
+    /** A sub-command. */
+    interface Command {
+        int run() throws IOException, InterruptedException;
+    }
+
+    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
+    @SubCommands({
+        @SubCommand(name = "serve", impl = Serve.class),
+        @SubCommand(name = "check", impl = Check.class),
+        @SubCommand(name = "benchlink", impl = Bench.class),
+        @SubCommand(name = "version", impl = Version.class),
+        @SubCommand(name = "help", impl = Help.class)})
+    private Command command;
+
     private Main() {}
 
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar ploverdale.jar benchlink");
+    public static void main(String[] args) throws InterruptedException {
+        Main main = new Main();
+        try {
+            new CmdLineParser(main).parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println("ploverdale: " + e.getMessage());
+            System.err.println(USAGE);
             System.exit(2);
         }
         try {
-            new BenchLink(System.in, System.out).run();
-        } catch (WireFault | IOException e) {
+            System.exit(main.command.run());
+        } catch (Unreadable | IOException e) {
             System.err.println("ploverdale: " + e.getMessage());
             System.exit(1);
         }
     }
+
+    /** Where the configuration is. */
+    abstract static class WithFile implements Command {
+        @Option(name = "--config", metaVar = "FILE")
+        private String config = System.getenv("EDGE_CONFIG");
+
+        GatewayFile file() {
+            if (config == null || config.isEmpty()) {
+                throw new Unreadable("no configuration: neither --config nor EDGE_CONFIG names a file");
+            }
+            return GatewayFile.read(Path.of(config));
+        }
+    }
+
+    /** One gateway, until SIGTERM. */
+    public static final class Serve extends WithFile {
+        @Override
+        public int run() throws IOException, InterruptedException {
+            Log log = new Log(System.err);
+            GatewayFile file = file();
+            Vertx vertx = Gateway.vertx();
+            Gateway gateway;
+            try {
+                gateway = Gateway.start(vertx, log, file).toCompletionStage().toCompletableFuture().get();
+            } catch (ExecutionException e) {
+                throw new IOException("cannot listen at " + file.listen() + ": " + e.getCause().getMessage());
+            }
+            CountDownLatch ended = new CountDownLatch(1);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                gateway.runOnLoop(() -> gateway.endPlanned(ended));
+                try {
+                    ended.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                Runtime.getRuntime().halt(0); // a planned restart went well; the signal's own code says otherwise
+            }, "planned-restart"));
+            new CountDownLatch(1).await();
+            return 0;
+        }
+    }
+
+    /** Reads the configuration and tells what it says. */
+    public static final class Check extends WithFile {
+        @Override
+        public int run() {
+            GatewayFile f = file();
+            System.out.println("gateway " + f.name() + " listens at " + f.listen() + ", discovery at " + f.discovery());
+            System.out.println(f.terms().opTypes().size() + " op types, " + f.terms().tenants().size() + " tenants, "
+                    + f.known().entries().size() + " servers known, " + f.sockets() + " descriptors");
+            return 0;
+        }
+    }
+
+    /** The decisions on the simulator's wire. */
+    public static final class Bench implements Command {
+        @Override
+        public int run() throws IOException {
+            new BenchLink(System.in, System.out).run();
+            return 0;
+        }
+    }
+
+    /** The version. */
+    public static final class Version implements Command {
+        @Override
+        public int run() {
+            String v = Main.class.getPackage().getImplementationVersion();
+            System.out.println("ploverdale " + (v == null ? "unpackaged" : v));
+            return 0;
+        }
+    }
+
+    /** The usage. */
+    public static final class Help implements Command {
+        @Override
+        public int run() {
+            System.out.println(USAGE);
+            return 0;
+        }
+    }
 }
--- a/src/main/java/ploverdale/benchlink/BenchLink.java
+++ b/src/main/java/ploverdale/benchlink/BenchLink.java
@@ -22,6 +22,8 @@
 import ploverdale.model.Happening;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
+import ploverdale.terms.Fields;
+import ploverdale.terms.Unreadable;
 
 /** Speaks the simulator's wire: one Logic for each gateway, nothing shared but the numbered lists. */
 public final class BenchLink {
@@ -57,7 +59,7 @@
         g.writeArrayFieldStart("out");
         for (Object item : batch.list("news")) {
             if (!(item instanceof Map<?, ?> event) || event.size() != 1) {
-                throw new WireFault("an event is not an object with a single key");
+                throw new Unreadable("an event is not an object with a single key");
             }
             for (Map.Entry<?, ?> e : event.entrySet()) {
                 event(g, now, (String) e.getKey(), e.getValue());
@@ -73,15 +75,15 @@
     private Fields batch(String line) throws IOException {
         try (JsonParser p = json.createParser(line)) {
             if (p.nextToken() != JsonToken.START_OBJECT) {
-                throw new WireFault("a line is not a JSON object");
+                throw new Unreadable("a line is not a JSON object");
             }
             Fields batch = Fields.of("batch", Fields.read(p));
             if (p.nextToken() != null) {
-                throw new WireFault("a line holds more than one JSON value");
+                throw new Unreadable("a line holds more than one JSON value");
             }
             return batch;
         } catch (JsonProcessingException e) {
-            throw new WireFault("a line is not JSON: " + e.getOriginalMessage());
+            throw new Unreadable("a line is not JSON: " + e.getOriginalMessage());
         }
     }
 
@@ -110,7 +112,7 @@
                 if (host != null) {
                     tell(g, now, gateway, host, happening(name, f, host.reader()));
                 } else if (!stopped.contains(gateway)) {
-                    throw new WireFault(name + " with a field gateway that names one never started: " + gateway);
+                    throw new Unreadable(name + " with a field gateway that names one never started: " + gateway);
                 }
             }
             default -> { }
@@ -136,7 +138,7 @@
         }
         List<Listing> rows = ledgers.get(f.whole("sheet"));
         if (rows == null) {
-            throw new WireFault("ANNOUNCE with a field sheet that names no list");
+            throw new Unreadable("ANNOUNCE with a field sheet that names no list");
         }
         return rows;
     }
--- a/src/main/java/ploverdale/benchlink/Reader.java
+++ b/src/main/java/ploverdale/benchlink/Reader.java
@@ -2,113 +2,38 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import ploverdale.model.CopyKeeping;
 import ploverdale.model.GroupId;
 import ploverdale.model.Happening;
 import ploverdale.model.Happening.Ending;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
-import ploverdale.model.OpType;
 import ploverdale.model.OpTypeId;
-import ploverdale.model.Permits;
-import ploverdale.model.Pledges;
 import ploverdale.model.ServerId;
 import ploverdale.model.SessionId;
 import ploverdale.model.Telling;
 import ploverdale.model.Telling.Role;
-import ploverdale.model.Tenant;
 import ploverdale.model.TenantId;
 import ploverdale.model.ZoneId;
+import ploverdale.terms.Fields;
+import ploverdale.terms.Terms;
+import ploverdale.terms.Unreadable;
 
-/** Turns one gateway's wire events into happenings. Holds what the wire needs to be read: zero and report order. */
+/** Turns one gateway's wire events into happenings. Holds what the wire needs to be read. */
 final class Reader {
-    private final double positionZeroMs;
-    private final boolean positionsInNotes;
+    private final Terms terms;
     private final int positionField;
     private final int roleField;
     private final int busyField;
-    private final Happening.Started started;
 
     Reader(Fields boot) {
-        Fields all = boot.object("profileData");
-        Fields special = all.object("specifics");
-        positionZeroMs = special.number("positionZeroMs", 0);
-        positionsInNotes = special.mark("positions");
-        List<Object> order = all.object("report").list("fields");
-        positionField = order.indexOf("x0");
-        roleField = order.indexOf("x1");
-        busyField = order.indexOf("busy");
-        started = started(boot.whole("salt", 0), all, special);
+        terms = new Terms(boot.whole("salt", 0), boot.object("profileData"));
+        positionField = terms.reportFields().indexOf("x0");
+        roleField = terms.reportFields().indexOf("x1");
+        busyField = terms.reportFields().indexOf("busy");
     }
 
     Happening.Started started() {
-        return started;
-    }
-
-    private static Happening.Started started(long seed, Fields all, Fields special) {
-        List<Object> needs = special.list("classRead");
-        List<Object> bounds = special.list("oldestDataMs");
-        List<OpType> types = new ArrayList<>();
-        for (Object p : all.list("profiles")) {
-            Fields f = Fields.of("profiles", p);
-            int i = types.size();
-            long bound = i < bounds.size() && bounds.get(i) instanceof Number n ? Fields.down(n.doubleValue()) : 0;
-            types.add(new OpType(Fields.down(f.number("aimMs")), f.number("aimStretch", 0),
-                    Fields.down(f.number("deadlineMs")), repeats(f.text("effect", "once")),
-                    scope(f.text("dedupScope", "cell")), Fields.down(f.number("dedupWindowMs", 0)),
-                    f.number("worth", 1), f.number("lateShare", 0), f.mark("stream"),
-                    needs(i < needs.size() ? String.valueOf(needs.get(i)) : "mutate"), bound));
-        }
-        List<Tenant> tenants = new ArrayList<>();
-        for (Object a : all.list("accounts")) {
-            tenants.add(new Tenant(Fields.of("accounts", a).number("quotaPerS", 0)));
-        }
-        Fields rules = all.object("contract");
-        Pledges pledges = new Pledges(rules.number("startCapacity", 0), Fields.up(rules.number("coldMs", 0)),
-                rules.number("overloadFactor", 1), Fields.up(rules.number("overloadForMs", 0)),
-                !rules.mark("removalNotBinding"), Fields.down(rules.number("mustAskInMs", 0)));
-        Fields limits = all.object("policyLimits");
-        Permits permits = new Permits((int) limits.whole("sendCap", 1), limits.mark("cancel"), limits.mark("probes"),
-                limits.mark("retryAfter"), Fields.down(limits.number("maxRetryAfterMs", 0)));
-        CopyKeeping copies = new CopyKeeping(checks(special.text("checks", "silent")),
-                Fields.down(special.number("waitMs", 0)), special.text("tokens", "").equals("brought"));
-        return new Happening.Started(seed, (int) all.whole("balancers", 1), types, tenants,
-                all.number("overShareWorth", 1), pledges, permits, copies,
-                all.text("discovery", "").equals("subscribe"));
-    }
-
-    private static OpType.Repeats repeats(String word) {
-        return switch (word) {
-            case "repeatable" -> OpType.Repeats.RETRYABLE;
-            case "by_key" -> OpType.Repeats.TOKENED;
-            default -> OpType.Repeats.NON_RETRYABLE;
-        };
-    }
-
-    private static OpType.Scope scope(String word) {
-        return switch (word) {
-            case "all" -> OpType.Scope.ALL;
-            case "zone" -> OpType.Scope.ZONE;
-            default -> OpType.Scope.GROUP;
-        };
-    }
-
-    private static OpType.Needs needs(String word) {
-        return switch (word) {
-            case "strong" -> OpType.Needs.FRESH;
-            case "causal" -> OpType.Needs.SESSION;
-            case "lag_bound" -> OpType.Needs.BOUNDED;
-            case "eventual" -> OpType.Needs.UNBOUNDED;
-            default -> OpType.Needs.WRITE;
-        };
-    }
-
-    private static CopyKeeping.Checks checks(String word) {
-        return switch (word) {
-            case "bounce" -> CopyKeeping.Checks.TURNS_AWAY;
-            case "await" -> CopyKeeping.Checks.WAITS;
-            default -> CopyKeeping.Checks.NONE;
-        };
+        return terms.started();
     }
 
     private static Ending ending(String word) {
@@ -149,8 +74,8 @@
 
     Happening opArrived(Fields f) {
         int type = (int) f.whole("grade");
-        if (type < 0 || type >= started.opTypes().size()) {
-            throw new WireFault("REQ with a field grade that names no class");
+        if (type < 0 || type >= terms.started().opTypes().size()) {
+            throw new Unreadable("REQ with a field grade that names no class");
         }
         return new Happening.OpArrived(new OpId(f.text("ref")), new OpTypeId(type),
                 new TenantId((int) f.whole("realm", 0)), new GroupId((long) f.number("setNo", 0)),
@@ -173,9 +98,9 @@
         if (f.has("progress")) {
             long told = f.whole("progress");
             long position = told >> 2;
-            boolean none = position == 0 && !positionsInNotes;
+            boolean none = position == 0 && !terms.positionsInNotes();
             note = new Telling(role((int) (told & 3)),
-                    none ? Telling.UNTOLD : Fields.down(positionZeroMs) + position * 10);
+                    none ? Telling.UNTOLD : Fields.down(terms.positionZeroMs()) + position * 10);
         }
         return new Happening.SendEnded(new OpId(f.text("ref")), (int) f.whole("roundNo"),
                 new ServerId(f.text("server")), ending(f.text("verdict")), Fields.up(f.number("durationMs")),
@@ -191,16 +116,12 @@
         if (row.isEmpty()) {
             return null;
         }
-        Role role = Role.UNKNOWN;
-        if (roleField >= 0 && roleField < row.size() && row.get(roleField) instanceof Number n) {
-            role = n.intValue() == 1 ? Role.PRIMARY : Role.REPLICA;
-        }
-        long position = Telling.UNTOLD;
-        if (positionField >= 0 && positionField < row.size() && row.get(positionField) instanceof Number n) {
-            position = Fields.down(positionZeroMs + n.doubleValue() * 1000);
-        }
-        boolean busy = busyField >= 0 && busyField < row.size() && row.get(busyField) instanceof Number;
-        return new Telling(role, position, busy ? ((Number) row.get(busyField)).doubleValue() : Double.NaN);
+        return Terms.report(value(row, positionField), value(row, roleField), value(row, busyField),
+                terms.positionZeroMs());
+    }
+
+    private static Double value(List<Object> row, int field) {
+        return field >= 0 && field < row.size() && row.get(field) instanceof Number n ? n.doubleValue() : null;
     }
 
     private static Role role(int word) {
--- /dev/null
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -0,0 +1,313 @@
+package ploverdale.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ploverdale.log.Log;
+import ploverdale.model.GroupId;
+import ploverdale.model.Happening;
+import ploverdale.model.OpId;
+import ploverdale.model.OpType.Needs;
+import ploverdale.model.OpTypeId;
+import ploverdale.model.SessionId;
+import ploverdale.model.TenantId;
+import ploverdale.net.LogicLoop.Clock;
+import ploverdale.terms.Terms;
+
+/**
+ * Owns the clients' connections and the ops taken from them: reads queries, tells the module of each op, and
+ * writes one answer for each command in the order of the commands. Must never decide an op's fate, answer an op
+ * twice, or keep more of a client that does not read than its bounds allow.
+ */
+public final class ClientSide {
+    private static final int AHEAD_MOST = 32; // commands of one client taken before their answers are out
+    private static final long GREETING_MS = 5000; // for a first message to be whole
+    private static final long UNREAD_MS = 5000; // for a client to read on, before it is closed
+
+    /** An op in hand. */
+    public static final class Taken {
+        private final PgCodec.OpAsk ask;
+        private final Session session;
+        private final Slot slot;
+        private int sends;
+
+        private Taken(PgCodec.OpAsk ask, Session session, Slot slot) {
+            this.ask = ask;
+            this.session = session;
+            this.slot = slot;
+        }
+
+        public PgCodec.OpAsk ask() {
+            return ask;
+        }
+
+        /** Numbers the sends of an op as the module does. */
+        public int nextSend() {
+            return sends++;
+        }
+    }
+
+    /** A command's place in the order of answers. */
+    private static final class Slot {
+        private OpId op;
+        private Buffer answer;
+        private boolean ends;
+    }
+
+    private final Vertx vertx;
+    private final Log log;
+    private final LogicLoop loop;
+    private final Terms terms;
+    private final int sessionsMost;
+    private final Map<OpId, Taken> taken = new HashMap<>();
+    private final Set<Session> sessions = new LinkedHashSet<>();
+    private final Set<Session> idle = new LinkedHashSet<>(); // longest first
+    private boolean ending;
+
+    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, int sessionsMost) {
+        this.vertx = vertx;
+        this.log = log;
+        this.loop = loop;
+        this.terms = terms;
+        this.sessionsMost = sessionsMost;
+    }
+
+    /** Takes in a connection; over the bound the longest idle one makes way, or the new one is turned away. */
+    public void accept(NetSocket socket) {
+        if (sessions.size() >= sessionsMost && !idle.isEmpty()) {
+            idle.iterator().next().close();
+        }
+        if (sessions.size() >= sessionsMost) {
+            log.often("clients over their bound", sessions.size() + " connections, one turned away");
+            socket.exceptionHandler(e -> { });
+            socket.write(PgCodec.problem("53300", "too many connections", null, true, false));
+            socket.close();
+            return;
+        }
+        sessions.add(new Session(socket));
+    }
+
+    public int sessions() {
+        return sessions.size();
+    }
+
+    public int opsInHand() {
+        return taken.size();
+    }
+
+    /** The op if it is still in hand. */
+    public Taken taken(OpId op) {
+        return taken.get(op);
+    }
+
+    /** From now on idle connections are ended, and others after their answers. */
+    public void endIdle() {
+        ending = true;
+        List.copyOf(idle).forEach(Session::close);
+    }
+
+    public void acked(OpId op, PgCodec.Row row) {
+        answer(op, PgCodec.acked(row));
+    }
+
+    /** Tells the client that trying again does no harm; after how long, in tenths of a millisecond, or 0. */
+    public void busyReplied(OpId op, long comeBackIn) {
+        String detail = comeBackIn > 0 ? Long.toString((comeBackIn + 9) / 10) : null;
+        answer(op, PgCodec.problem("53300", "busy, trying again does no harm", detail, false, true));
+    }
+
+    public void errored(OpId op) {
+        answer(op, PgCodec.problem("58000", "the op failed; whether it ran is not known", null, false, true));
+    }
+
+    private void answer(OpId op, Buffer answer) {
+        Taken t = taken.remove(op);
+        if (t != null) {
+            t.slot.answer = answer;
+            t.session.flush();
+        }
+    }
+
+    /** One client's connection. */
+    private final class Session {
+        private final NetSocket socket;
+        private final PgCodec.ClientStream stream = new PgCodec.ClientStream();
+        private final Deque<Slot> slots = new ArrayDeque<>();
+        private boolean closed;
+        private boolean deaf;
+        private boolean paused;
+        private boolean unread;
+        private boolean skipping;
+
+        Session(NetSocket socket) {
+            this.socket = socket;
+            socket.handler(this::bytes);
+            socket.closeHandler(x -> gone());
+            socket.exceptionHandler(e -> log.often("client connection", String.valueOf(e.getMessage())));
+            vertx.setTimer(GREETING_MS, x -> {
+                if (!stream.greeted() && !closed) {
+                    log.often("client without a greeting", "closed after " + GREETING_MS + " ms");
+                    close();
+                }
+            });
+        }
+
+        private void bytes(Buffer more) {
+            if (closed || deaf) {
+                return;
+            }
+            stream.feed(more);
+            read();
+        }
+
+        private void read() {
+            while (!closed && !deaf && slots.size() < AHEAD_MOST && !unread) {
+                PgCodec.FromClient m = stream.next();
+                if (m == null) {
+                    break;
+                }
+                message(m);
+            }
+            flow();
+        }
+
+        private void message(PgCodec.FromClient m) {
+            if (m instanceof PgCodec.OpAsk ask && !skipping) {
+                op(ask);
+            } else if (m instanceof PgCodec.Hello) {
+                put(PgCodec.welcome());
+            } else if (m instanceof PgCodec.WantsCover) {
+                put(Buffer.buffer("N"));
+            } else if (m instanceof PgCodec.EmptyAsk && !skipping) {
+                put(PgCodec.emptyDone());
+            } else if (m instanceof PgCodec.Bye) {
+                close();
+            } else if (m instanceof PgCodec.Sync) {
+                skipping = false;
+                put(PgCodec.synced());
+            } else if (m instanceof PgCodec.NotSpoken n && !skipping) {
+                skipping = n.untilSync();
+                put(PgCodec.problem("0A000", "only simple queries are spoken here", null, false, !n.untilSync()));
+            } else if (m instanceof PgCodec.BadAsk bad && (!skipping || bad.ends())) {
+                bad(bad.code(), bad.text(), bad.ends());
+            }
+        }
+
+        private void bad(String code, String text, boolean ends) {
+            log.often("bad input from a client", code + " " + text);
+            deaf |= ends;
+            Slot slot = new Slot();
+            slot.answer = PgCodec.problem(code, text, null, ends, !ends);
+            slot.ends = ends;
+            slots.add(slot);
+            flush();
+        }
+
+        private void put(Buffer answer) {
+            Slot slot = new Slot();
+            slot.answer = answer;
+            slots.add(slot);
+            flush();
+        }
+
+        private void op(PgCodec.OpAsk ask) {
+            int type = terms.opTypes().indexOf(ask.type());
+            int tenant = terms.tenants().isEmpty() ? 0 : terms.tenants().indexOf(ask.tenant());
+            OpId op = new OpId(ask.id());
+            if (type < 0 || tenant < 0) {
+                bad("22023", type < 0 ? "an unknown op type" : "an unknown tenant", false);
+                return;
+            }
+            if (taken.containsKey(op)) {
+                bad("42710", "the id of an op still in hand", false);
+                return;
+            }
+            idle.remove(this);
+            Slot slot = new Slot();
+            slot.op = op;
+            slots.add(slot);
+            taken.put(op, new Taken(ask, this, slot));
+            Needs needs = terms.started().opTypes().get(type).needs();
+            boolean inSession = ask.key() != null && (needs == Needs.WRITE || needs == Needs.SESSION);
+            long now = Clock.now();
+            long tokenAge = ask.afterMs() <= 0 ? 0 : Math.max(1, now - ask.afterMs() * 10); // 0 is the word for none
+            loop.tell(new Happening.OpArrived(op, new OpTypeId(type), new TenantId(tenant), new GroupId(ask.group()),
+                    inSession ? new SessionId(ask.key()) : null, now + (long) Math.floor(ask.waitMs() * 10),
+                    ask.again(), 0, tokenAge));
+        }
+
+        /** Writes the answers that are due, in order. */
+        private void flush() {
+            while (!closed && !slots.isEmpty() && slots.peek().answer != null) {
+                Slot s = slots.poll();
+                socket.write(s.answer);
+                if (s.ends) {
+                    close();
+                }
+            }
+            if (!closed && slots.isEmpty()) {
+                if (ending && stream.greeted()) {
+                    close();
+                } else {
+                    idle.add(this);
+                }
+            }
+            if (!closed && !unread && socket.writeQueueFull()) {
+                unread = true;
+                long timer = vertx.setTimer(UNREAD_MS, x -> {
+                    log.often("client that does not read", "closed after " + UNREAD_MS + " ms");
+                    close();
+                });
+                socket.drainHandler(x -> {
+                    vertx.cancelTimer(timer);
+                    unread = false;
+                    read();
+                });
+            }
+            if (paused) {
+                vertx.runOnContext(x -> read());
+            }
+        }
+
+        /** Guards against clients that write more than they read: they are held back. */
+        private void flow() {
+            boolean hold = slots.size() >= AHEAD_MOST || unread;
+            if (hold != paused && !closed) {
+                paused = hold;
+                if (hold) {
+                    socket.pause();
+                } else {
+                    socket.resume();
+                }
+            }
+        }
+
+        private void close() {
+            gone();
+            socket.close();
+        }
+
+        private void gone() {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            sessions.remove(this);
+            idle.remove(this);
+            for (Slot s : slots) {
+                if (s.op != null && s.answer == null) {
+                    taken.remove(s.op);
+                    loop.tell(new Happening.ClientLeft(s.op));
+                }
+            }
+            slots.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/net/Discovery.java
@@ -0,0 +1,157 @@
+package ploverdale.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import ploverdale.log.Log;
+import ploverdale.net.GatewayFile.ServerList;
+import ploverdale.terms.Fields;
+import ploverdale.terms.Terms;
+import ploverdale.terms.Unreadable;
+
+/**
+ * Owns the talk with discovery: asks for the whole list at start and then watches it, one call after the other.
+ * Must never judge a server, keep a list of its own, or call in a busy loop.
+ */
+public final class Discovery {
+    private static final String PATH = "/registry/instances";
+    private static final long HOLD_MS = 5000; // a watch; shorter than the longest allowed, so that a loss shows soon
+    private static final long GRACE_MS = 2000; // past a watch, or for a call without one
+    private static final long AGAIN_FIRST_MS = 100; // after a failed call; doubled
+    private static final long AGAIN_MOST_MS = 2000;
+    private static final int BODY_MOST = 4 * 1024 * 1024;
+
+    private final Vertx vertx;
+    private final Log log;
+    private final Terms terms;
+    private final InetSocketAddress at;
+    private final Consumer<ServerList> told;
+    private final HttpClient http;
+    private long revision = -1; // below 0: the whole list is wanted
+    private long call;
+    private long again = AGAIN_FIRST_MS;
+    private long lostAt;
+    private boolean lost;
+
+    public Discovery(Vertx vertx, Log log, Terms terms, InetSocketAddress at, Consumer<ServerList> told) {
+        this.vertx = vertx;
+        this.log = log;
+        this.terms = terms;
+        this.at = at;
+        this.told = told;
+        http = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) GRACE_MS).setTcpNoDelay(true),
+                new PoolOptions().setHttp1MaxSize(1).setMaxWaitQueueSize(2));
+    }
+
+    /** Asks for the whole list, and for its changes from then on. */
+    public void follow() {
+        revision = -1;
+        ask();
+    }
+
+    private void ask() {
+        long mine = ++call;
+        boolean whole = revision < 0;
+        String uri = whole ? PATH : PATH + "?from=" + revision + "&hold_ms=" + HOLD_MS;
+        RequestOptions what = new RequestOptions().setMethod(HttpMethod.GET).setURI(uri)
+                .setHost(at.getAddress().getHostAddress()).setPort(at.getPort());
+        HttpClientRequest[] request = new HttpClientRequest[1];
+        long timer = vertx.setTimer((whole ? 0 : HOLD_MS) + GRACE_MS, x -> {
+            if (request[0] != null) {
+                request[0].reset();
+            }
+            failed(mine, "no answer");
+        });
+        http.request(what).compose(r -> {
+            request[0] = r;
+            return r.send();
+        }).onComplete(r -> {
+            if (r.failed()) {
+                vertx.cancelTimer(timer);
+                failed(mine, String.valueOf(r.cause().getMessage()));
+            } else {
+                collect(mine, timer, request[0], r.result());
+            }
+        });
+    }
+
+    private void collect(long mine, long timer, HttpClientRequest request, HttpClientResponse answer) {
+        Buffer body = Buffer.buffer();
+        answer.handler(b -> {
+            if (body.length() + b.length() > BODY_MOST) {
+                request.reset();
+            } else {
+                body.appendBuffer(b);
+            }
+        });
+        answer.exceptionHandler(e -> {
+            vertx.cancelTimer(timer);
+            failed(mine, "broken off: " + e.getMessage());
+        });
+        answer.endHandler(x -> {
+            vertx.cancelTimer(timer);
+            if (answer.statusCode() != 200) {
+                failed(mine, "status " + answer.statusCode());
+            } else {
+                read(mine, body.toString());
+            }
+        });
+    }
+
+    private void read(long mine, String body) {
+        if (mine != call) {
+            return;
+        }
+        ServerList list;
+        try {
+            list = GatewayFile.serverList(Fields.of("list", GatewayFile.json(body, "list")), terms);
+        } catch (Unreadable e) {
+            failed(mine, e.getMessage()); // changes nothing
+            return;
+        }
+        if (lost) {
+            log.line("discovery back after " + (System.nanoTime() / 1_000_000 - lostAt) + " ms, revision "
+                    + list.revision());
+        }
+        lost = false;
+        again = AGAIN_FIRST_MS;
+        if (!list.leftOut().isEmpty()) {
+            log.often("list entries left out", String.join(", ", list.leftOut()));
+        }
+        // Guards against an agent that starts anew: changes of an older list say nothing about this one.
+        boolean older = !list.whole() && list.revision() < revision;
+        if (older || !list.whole() && revision < 0) {
+            log.line("discovery went back from revision " + revision + " to " + list.revision() + ": asks for all");
+            revision = -1;
+            vertx.setTimer(AGAIN_FIRST_MS, x -> ask());
+            return;
+        }
+        if (list.whole() || !list.entries().isEmpty()) {
+            told.accept(list);
+        }
+        revision = list.revision();
+        ask();
+    }
+
+    private void failed(long mine, String why) {
+        if (mine != call) {
+            return;
+        }
+        call++; // a late answer to this call is nobody's
+        if (!lost) {
+            lost = true;
+            lostAt = System.nanoTime() / 1_000_000;
+            log.line("discovery lost: " + why);
+        }
+        vertx.setTimer(again, x -> ask());
+        again = Math.min(AGAIN_MOST_MS, again * 2);
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -0,0 +1,164 @@
+package ploverdale.net;
+
+import io.vertx.core.Context;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.net.NetServerOptions;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import ploverdale.log.Log;
+import ploverdale.model.Action;
+import ploverdale.model.Happening;
+import ploverdale.model.Listing;
+import ploverdale.model.OpId;
+import ploverdale.model.OpType;
+import ploverdale.model.ServerId;
+import ploverdale.net.GatewayFile.ServerList;
+
+/**
+ * Owns the parts of one gateway: starts them in order, passes each action of the module to the part that carries
+ * it out and each outcome back, and ends them at a planned restart. Must never decide anything about an op or a
+ * server, nor stop while an op taken in time has no answer.
+ */
+public final class Gateway implements LogicLoop.Hands {
+    private static final long STILL_ARRIVING_MS = 500; // after SIGTERM; new connections are served as before
+    private static final long LOOK_MS = 20;
+    private static final long SPARE_MS = 300; // past the longest op timeout; then the restart waits no longer
+
+    private final Vertx vertx;
+    private final Log log;
+    private final GatewayFile file;
+    private final LogicLoop loop;
+    private final ClientSide clients;
+    private final ServerSide servers;
+    private final Discovery discovery;
+
+    private Gateway(Vertx vertx, Context context, Log log, GatewayFile file) {
+        this.vertx = vertx;
+        this.log = log;
+        this.file = file;
+        int spare = Math.max(16, file.sockets() / 8); // for the program's own files, discovery, crossing closes
+        int half = (file.sockets() - spare) / 2;
+        loop = new LogicLoop(vertx, context, log, this);
+        clients = new ClientSide(vertx, log, loop, file.terms(), half);
+        servers = new ServerSide(vertx, log, file.terms(), half);
+        discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
+    }
+
+    /** One event loop for all; nothing looked up by name, no files kept. */
+    public static Vertx vertx() {
+        System.setProperty("vertx.disableDnsResolver", "true");
+        return Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setBlockedThreadCheckInterval(60_000)
+                .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false)
+                        .setClassPathResolvingEnabled(false))).build();
+    }
+
+    /** Starts a gateway; done when it listens. */
+    public static io.vertx.core.Future<Gateway> start(Vertx vertx, Log log, GatewayFile file) {
+        Context context = vertx.getOrCreateContext();
+        Promise<Gateway> listening = Promise.promise();
+        context.runOnContext(x -> {
+            Gateway g = new Gateway(vertx, context, log, file);
+            g.loop.tell(file.terms().started());
+            g.listed(file.known());
+            context.runOnContext(y -> g.listen(listening)); // behind what was just told
+        });
+        return listening.future();
+    }
+
+    private void listen(Promise<Gateway> listening) {
+        vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true).setAcceptBacklog(1024))
+                .connectHandler(clients::accept)
+                .listen(file.listen().getPort(), file.listen().getAddress().getHostAddress())
+                .onSuccess(s -> {
+                    log.line("gateway " + file.name() + " listens at " + file.listen().getAddress().getHostAddress()
+                            + ":" + s.actualPort() + ", " + file.known().entries().size() + " servers known");
+                    discovery.follow();
+                    listening.complete(this);
+                })
+                .onFailure(listening::fail);
+    }
+
+    private void listed(ServerList list) {
+        List<Listing> listings = list.entries().stream().map(GatewayFile.Entry::listing).toList();
+        for (GatewayFile.Entry e : list.entries()) {
+            servers.reachedAt(e.listing().server(), e.address());
+        }
+        loop.tell(new Happening.ListTold(list.whole(), false, listings));
+    }
+
+    @Override
+    public void send(Action.Send a) {
+        ClientSide.Taken t = clients.taken(a.op());
+        if (t == null) { // its client has gone while the module was deciding
+            loop.tell(new Happening.SendEnded(a.op(), 0, a.server(), Happening.Ending.NEVER_SENT, 0, true, null, null));
+            return;
+        }
+        int number = t.nextSend();
+        servers.send(a.op(), a.server(), a.timeLimit(), waitMs -> PgCodec.ask(t.ask(), waitMs),
+                outcome -> sendEnded(a.op(), number, a.server(), outcome));
+    }
+
+    private void sendEnded(OpId op, int number, ServerId server, ServerSide.Outcome o) {
+        if (o.row() != null) {
+            clients.acked(op, o.row());
+        }
+        loop.tell(new Happening.SendEnded(op, number, server, o.ending(), o.took(), clients.taken(op) == null, o.note(),
+                o.report()));
+    }
+
+    @Override
+    public void callOff(Action.CallOff a) {
+        servers.callOff(a.op());
+    }
+
+    @Override
+    public void busyReply(Action.BusyReply a) {
+        clients.busyReplied(a.op(), a.comeBackIn());
+    }
+
+    @Override
+    public void errorReply(Action.ErrorReply a) {
+        clients.errored(a.op());
+    }
+
+    @Override
+    public void probe(Action.Probe a) {
+        servers.probe(a.server(), o -> loop.tell(new Happening.ProbeEnded(a.server(), o.ending(), o.report())));
+    }
+
+    @Override
+    public void closeIdle(Action.CloseIdle a) {
+        servers.closeIdle(a.server());
+    }
+
+    @Override
+    public void followList() {
+        discovery.follow();
+    }
+
+    /** Planned restart: serves on while connections still arrive, then ends what is idle, and stops when none is left. */
+    public void endPlanned(CountDownLatch done) {
+        long longest = file.terms().started().opTypes().stream().mapToLong(OpType::opTimeout).max().orElse(0) / 10;
+        long began = System.nanoTime();
+        log.line("planned restart: " + clients.sessions() + " connections, " + clients.opsInHand() + " ops in hand");
+        vertx.setPeriodic(LOOK_MS, x -> {
+            long passed = (System.nanoTime() - began) / 1_000_000;
+            if (passed >= STILL_ARRIVING_MS) {
+                clients.endIdle();
+            }
+            boolean over = passed >= STILL_ARRIVING_MS + longest + SPARE_MS;
+            if (passed >= STILL_ARRIVING_MS + LOOK_MS && clients.sessions() == 0 || over) {
+                log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered");
+                done.countDown();
+            }
+        });
+    }
+
+    public void runOnLoop(Runnable what) {
+        loop.run(what);
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/net/GatewayFile.java
@@ -0,0 +1,138 @@
+package ploverdale.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import ploverdale.model.GroupId;
+import ploverdale.model.Listing;
+import ploverdale.model.ServerId;
+import ploverdale.model.ZoneId;
+import ploverdale.terms.Fields;
+import ploverdale.terms.Terms;
+import ploverdale.terms.Unreadable;
+
+/**
+ * Owns the reading and checking of what a gateway is told at its start (the JSON file that EDGE_CONFIG names) and
+ * of the list of servers in the form that discovery uses. Must never open a socket or look up a name: addresses
+ * are figures.
+ */
+public record GatewayFile(
+        String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, Terms terms,
+        ServerList known) {
+
+    /** A list of servers, whole or its changes, with where each is reached; unusable entries are left out. */
+    public record ServerList(long revision, boolean whole, List<Entry> entries, List<String> leftOut) {}
+
+    /** One entry. */
+    public record Entry(Listing listing, InetSocketAddress address) {}
+
+    /** Reads the file; what is missing or misshapen is named in the exception's one line. */
+    public static GatewayFile read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new Unreadable("configuration " + file + " cannot be read: " + e.getMessage());
+        }
+        Fields all = Fields.of("configuration", json(text, "configuration"));
+        if (!all.has("settings")) {
+            throw new Unreadable("configuration without field settings");
+        }
+        Terms terms = new Terms(seed(all.text("seed")), all.object("settings"));
+        if (terms.opTypes().isEmpty()) {
+            throw new Unreadable("configuration.settings without field profiles");
+        }
+        long sockets = all.object("limits").whole("sockets", 1024);
+        if (sockets < 64 || sockets > 1_000_000) {
+            throw new Unreadable("configuration.limits with a field sockets out of range: " + sockets);
+        }
+        if (!all.has("known")) {
+            throw new Unreadable("configuration without field known");
+        }
+        return new GatewayFile(all.text("name"), address("listen", all.text("listen")),
+                address("discovery", all.text("discovery")), seed(all.text("seed")), (int) sockets, terms,
+                serverList(all.object("known"), terms));
+    }
+
+    /** One JSON value, in whole. */
+    public static Object json(String text, String what) {
+        try (JsonParser p = new JsonFactory().createParser(text)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                throw new Unreadable(what + " is not a JSON object");
+            }
+            return Fields.read(p);
+        } catch (JsonProcessingException e) {
+            throw new Unreadable(what + " is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new Unreadable(what + " cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new Unreadable("configuration with a field seed that is no hexadecimal number");
+        }
+    }
+
+    /** A list as discovery words it; the zones are those of the settings, others get the places behind them. */
+    public static ServerList serverList(Fields f, Terms terms) {
+        List<Entry> entries = new ArrayList<>();
+        List<String> leftOut = new ArrayList<>();
+        for (Object row : f.list("members")) {
+            Fields e = Fields.of("members", row);
+            String id = e.text("id");
+            Listing.Stage stage = switch (e.text("phase", "")) {
+                case "DRAINING" -> Listing.Stage.DRAINING;
+                case "DELETED" -> Listing.Stage.GONE;
+                case "SERVING" -> Listing.Stage.IN;
+                default -> null;
+            };
+            InetSocketAddress address = parse(e.text("host_port", ""));
+            if (stage == null || address == null) {
+                leftOut.add(id + " (" + e.text("phase", "no phase") + " at " + e.text("host_port", "no address") + ")");
+                continue;
+            }
+            int zone = terms.zones().indexOf(e.text("locality", ""));
+            entries.add(new Entry(new Listing(new ServerId(id), new GroupId((long) e.number("cell", 0)),
+                    new ZoneId(zone < 0 ? terms.zones().size() : zone), stage, e.text("rank", "").equals("source"),
+                    Fields.up(e.number("up_since_ms", 0))), address));
+        }
+        return new ServerList(f.whole("revision", 0), f.mark("complete"), entries, leftOut);
+    }
+
+    private static InetSocketAddress address(String field, String text) {
+        InetSocketAddress a = parse(text);
+        if (a == null) {
+            throw new Unreadable("configuration with a field " + field + " that is no address and port: " + text);
+        }
+        return a;
+    }
+
+    /** An address in figures with its port, or null; nothing is looked up. */
+    static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            return null;
+        }
+        String host = text.substring(0, colon);
+        boolean six = host.startsWith("[") && host.endsWith("]");
+        boolean figures = six ? host.substring(1, host.length() - 1).matches("[0-9a-fA-F:.]+")
+                : host.matches("\\d{1,3}(\\.\\d{1,3}){3}");
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return figures && port >= 0 && port < 65536 ? new InetSocketAddress(InetAddress.getByName(host), port) : null;
+        } catch (NumberFormatException | java.net.UnknownHostException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/net/LogicLoop.java
@@ -0,0 +1,126 @@
+package ploverdale.net;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import ploverdale.Logic;
+import ploverdale.log.Log;
+import ploverdale.model.Action;
+import ploverdale.model.Happening;
+
+/**
+ * Sole owner of the decision module: takes happenings from a queue, hands each to the module with the clock,
+ * has the actions carried out in order, and keeps the wake-ups. Must never choose, drop or reorder anything,
+ * and must never let the module see the clock go back or a wake-up come early.
+ */
+public final class LogicLoop {
+    /** Those who carry out actions. */
+    public interface Hands {
+        void send(Action.Send send);
+
+        void callOff(Action.CallOff callOff);
+
+        void busyReply(Action.BusyReply reply);
+
+        void errorReply(Action.ErrorReply reply);
+
+        void probe(Action.Probe probe);
+
+        void closeIdle(Action.CloseIdle close);
+
+        void followList();
+    }
+
+    private final Vertx vertx;
+    private final Context context;
+    private final Log log;
+    private final Hands hands;
+    private final Logic logic = new Logic();
+    private final Deque<Happening> queue = new ArrayDeque<>();
+    private boolean due;
+
+    public LogicLoop(Vertx vertx, Context context, Log log, Hands hands) {
+        this.vertx = vertx;
+        this.context = context;
+        this.log = log;
+        this.hands = hands;
+    }
+
+    /** Unix time in tenths of a millisecond, rounded down, as every machine reads it. */
+    public static final class Clock {
+        private static long last = Long.MIN_VALUE;
+
+        private Clock() {}
+
+        public static synchronized long now() {
+            Instant t = Instant.now();
+            last = Math.max(last, t.getEpochSecond() * 10_000 + t.getNano() / 100_000);
+            return last;
+        }
+    }
+
+    /** Queues what happened; the module hears of it right after what is being read now. */
+    public void tell(Happening h) {
+        queue.add(h);
+        if (!due) {
+            due = true;
+            context.runOnContext(x -> drain());
+        }
+    }
+
+    /** Runs what another thread wants done on the thread that owns all this. */
+    public void run(Runnable what) {
+        context.runOnContext(x -> what.run());
+    }
+
+    private void drain() {
+        due = false;
+        for (Happening h = queue.poll(); h != null; h = queue.poll()) {
+            try {
+                for (Action a : logic.on(Clock.now(), h)) {
+                    act(a);
+                }
+            } catch (RuntimeException e) {
+                log.fault("module fault on " + h.getClass().getSimpleName(), e);
+                if (h instanceof Happening.OpArrived a) {
+                    hands.errorReply(new Action.ErrorReply(a.op())); // an op taken is answered all the same
+                }
+            }
+        }
+    }
+
+    private void act(Action action) {
+        if (action instanceof Action.Send a) {
+            hands.send(a);
+        } else if (action instanceof Action.CallOff a) {
+            hands.callOff(a);
+        } else if (action instanceof Action.BusyReply a) {
+            hands.busyReply(a);
+        } else if (action instanceof Action.ErrorReply a) {
+            hands.errorReply(a);
+        } else if (action instanceof Action.Wake a) {
+            wakeAt(a);
+        } else if (action instanceof Action.Probe a) {
+            hands.probe(a);
+        } else if (action instanceof Action.CloseIdle a) {
+            hands.closeIdle(a);
+        } else if (action instanceof Action.FollowList) {
+            hands.followList();
+        } else if (action instanceof Action.LogLine a) {
+            log.line(a.text());
+        }
+    }
+
+    /** Guards against timers that count another clock: an early one is set again, since the module asks once. */
+    private void wakeAt(Action.Wake wake) {
+        vertx.setTimer(Math.max(1, (wake.at() - Clock.now() + 9) / 10), x -> {
+            if (Clock.now() < wake.at()) {
+                wakeAt(wake);
+            } else {
+                tell(new Happening.WakeUp(wake.mark()));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -0,0 +1,433 @@
+package ploverdale.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ploverdale.log.Log;
+import ploverdale.model.Happening.Ending;
+import ploverdale.model.OpId;
+import ploverdale.model.ServerId;
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+import ploverdale.net.LogicLoop.Clock;
+import ploverdale.terms.Terms;
+
+/**
+ * Owns the connections to database servers: opens, reuses and closes them, writes each send or probe once, and
+ * tells how it ended with how far it had come. Must never choose a server, repeat anything, write what no send
+ * or probe asked for, or let a late answer reach another op: giving up closes the connection.
+ */
+public final class ServerSide {
+    /** How far a send had come. What is not written whole has not run; after that it may have. */
+    public enum Reach { NO_CONNECTION, NOT_WRITTEN, IN_DOUBT, WRITTEN }
+
+    /** How a send ended. The row is there when it was acked; note and report may be null. */
+    public record Outcome(Ending ending, Reach reach, PgCodec.Row row, Telling note, Telling report, long took) {}
+
+    /** Hears the outcome of a send or probe, once. */
+    public interface Ear {
+        void ended(Outcome outcome);
+    }
+
+    /** What a send or probe writes, given the wait that is left. */
+    public interface Text {
+        Buffer bytes(long waitMs);
+    }
+
+    private static final int IDLE_PARTS = 5; // an idle connection is closed with a fifth of its time left
+    private static final long LOOK_MS = 500; // for idle connections; short beside any idle limit
+
+    private final Vertx vertx;
+    private final Log log;
+    private final Terms terms;
+    private final int connectionsMost;
+    private final NetClient net;
+    private final Map<ServerId, Server> servers = new HashMap<>();
+    private final Map<OpId, Sending> byOp = new HashMap<>();
+    private final Set<Connection> idle = new LinkedHashSet<>(); // longest first
+    private int connections;
+
+    public ServerSide(Vertx vertx, Log log, Terms terms, int connectionsMost) {
+        this.vertx = vertx;
+        this.log = log;
+        this.terms = terms;
+        this.connectionsMost = connectionsMost;
+        net = vertx.createNetClient(new NetClientOptions().setConnectTimeout((int) ((terms.connectLimit() + 9) / 10))
+                .setReconnectAttempts(0).setTcpNoDelay(true));
+        vertx.setPeriodic(LOOK_MS, x -> closeOld());
+    }
+
+    private static final class Server {
+        private final ServerId id;
+        private final Deque<Connection> free = new ArrayDeque<>(); // latest last
+        private final Set<Sending> waiting = new LinkedHashSet<>();
+        private InetSocketAddress address;
+
+        private Server(ServerId id) {
+            this.id = id;
+        }
+    }
+
+    /** One send or probe under way. */
+    private final class Sending {
+        private final OpId op;
+        private final Server server;
+        private final Text text;
+        private final Ear ear;
+        private final long startedAt = Clock.now();
+        private final long limit;
+        private final long timer;
+        private Connection on;
+        private Reach reach = Reach.NO_CONNECTION;
+        private boolean over;
+
+        private Sending(OpId op, Server server, long limit, Text text, Ear ear) {
+            this.op = op;
+            this.server = server;
+            this.limit = limit;
+            this.text = text;
+            this.ear = ear;
+            timer = vertx.setTimer(Math.max(1, (limit + 9) / 10), x -> giveUp(this, Ending.TIMED_OUT));
+        }
+
+        private void end(Ending ending, PgCodec.Row row, Telling note, Telling report) {
+            if (over) {
+                return;
+            }
+            over = true;
+            vertx.cancelTimer(timer);
+            server.waiting.remove(this);
+            if (op != null) {
+                byOp.remove(op, this);
+            }
+            ear.ended(new Outcome(ending, reach, row, note, report, Math.max(0, Clock.now() + 1 - startedAt)));
+        }
+    }
+
+    /** Where a server is reached; connections to an older address end when idle. */
+    public void reachedAt(ServerId id, InetSocketAddress address) {
+        Server s = servers.computeIfAbsent(id, Server::new);
+        if (!address.equals(s.address)) {
+            s.address = address;
+            closeIdle(id);
+        }
+    }
+
+    public int connections() {
+        return connections;
+    }
+
+    /** Writes the text to the server on a free connection, or on a new one; the limit is in tenths of a ms. */
+    public void send(OpId op, ServerId id, long limit, Text text, Ear ear) {
+        Server s = servers.computeIfAbsent(id, Server::new);
+        Sending x = new Sending(op, s, limit, text, ear);
+        if (op != null) {
+            byOp.put(op, x);
+        }
+        Connection c = s.free.pollLast();
+        if (c != null) {
+            idle.remove(c);
+            c.write(x);
+            return;
+        }
+        s.waiting.add(x);
+        if (!open(s, x)) {
+            x.end(Ending.NEVER_SENT, null, null, null);
+        }
+    }
+
+    /** A probe: how the server is, in as long as a connection may take to make. */
+    public void probe(ServerId id, Ear ear) {
+        send(null, id, terms.connectLimit(), waitMs -> PgCodec.probe(terms.reportsInProbes()), ear);
+    }
+
+    /** Stops waiting for the op's send, if one is out. */
+    public void callOff(OpId op) {
+        Sending x = byOp.get(op);
+        if (x != null) {
+            giveUp(x, Ending.CALLED_OFF);
+        }
+    }
+
+    public void closeIdle(ServerId id) {
+        Server s = servers.get(id);
+        if (s != null) {
+            List.copyOf(s.free).forEach(Connection::close);
+        }
+    }
+
+    /** What was not written whole has not run, whoever stopped waiting. */
+    private void giveUp(Sending x, Ending ending) {
+        if (x.over) {
+            return;
+        }
+        Connection c = x.on;
+        if (c != null) {
+            c.sending = null;
+            c.close();
+        }
+        boolean unwritten = x.reach == Reach.NO_CONNECTION || x.reach == Reach.NOT_WRITTEN;
+        x.end(unwritten ? Ending.NEVER_SENT : ending, null, null, null);
+    }
+
+    private void closeOld() {
+        long keep = terms.idleLimit() - terms.idleLimit() / IDLE_PARTS;
+        long now = Clock.now();
+        while (!idle.isEmpty() && now - idle.iterator().next().idleSince > keep) {
+            idle.iterator().next().close();
+        }
+    }
+
+    private boolean open(Server s, Sending opener) {
+        if (connections >= connectionsMost && !idle.isEmpty()) {
+            idle.iterator().next().close();
+        }
+        if (connections >= connectionsMost || s.address == null) {
+            log.often("servers over their bound", connections + " connections, none idle; a send to " + s.id.text()
+                    + " not made");
+            return false;
+        }
+        new Connection(s, opener).open();
+        return true;
+    }
+
+    /** One connection; carries one send or probe at a time. */
+    private final class Connection {
+        private final Server server;
+        private final InetSocketAddress address;
+        private final Sending opener;
+        private final PgCodec.ServerStream stream = new PgCodec.ServerStream();
+        private NetSocket socket;
+        private boolean up;
+        private boolean closed;
+        private long openTimer;
+        private long idleSince;
+
+        private Sending sending;
+        private final Map<String, String> told = new HashMap<>();
+        private PgCodec.Column column;
+        private PgCodec.Value value;
+        private PgCodec.Done done;
+        private PgCodec.Problem problem;
+
+        private Connection(Server server, Sending opener) {
+            this.server = server;
+            this.address = server.address;
+            this.opener = opener;
+            connections++;
+        }
+
+        private void open() {
+            openTimer = vertx.setTimer((terms.connectLimit() + 9) / 10, x -> lost("not up in time"));
+            net.connect(SocketAddress.inetSocketAddress(address)).onComplete(r -> {
+                if (r.failed()) {
+                    lost(String.valueOf(r.cause().getMessage()));
+                    return;
+                }
+                socket = r.result();
+                if (closed) {
+                    socket.close();
+                    return;
+                }
+                socket.exceptionHandler(e -> { }); // the close that follows tells
+                socket.closeHandler(x -> lost("closed by the server"));
+                socket.handler(this::bytes);
+                socket.write(PgCodec.hello());
+            });
+        }
+
+        private void bytes(Buffer more) {
+            stream.feed(more);
+            for (PgCodec.FromServer m = closed ? null : stream.next(); m != null; m = closed ? null : stream.next()) {
+                message(m);
+            }
+        }
+
+        private void message(PgCodec.FromServer m) {
+            if (m instanceof PgCodec.Garbled g) {
+                outOfOrder(g.what());
+            } else if (m instanceof PgCodec.Aside) {
+                return;
+            } else if (m instanceof PgCodec.Told t) {
+                told.put(t.name(), t.value());
+            } else if (!up) {
+                if (m instanceof PgCodec.Ready) {
+                    vertx.cancelTimer(openTimer);
+                    up = true;
+                    free();
+                } else if (m instanceof PgCodec.Problem p) {
+                    lost("refused with " + p.code());
+                } else if (!(m instanceof PgCodec.LetIn)) {
+                    outOfOrder("an answer before any query");
+                }
+            } else if (sending == null) {
+                // Guards against answers nobody asked for: they must not reach the next op.
+                outOfOrder("an answer without a query");
+            } else if (m instanceof PgCodec.Column c && column == null && done == null && problem == null) {
+                column = c;
+            } else if (m instanceof PgCodec.Value v && column != null && value == null && done == null) {
+                value = v;
+            } else if (m instanceof PgCodec.Done d && done == null && problem == null) {
+                done = d;
+            } else if (m instanceof PgCodec.Problem p && done == null && problem == null) {
+                problem = p;
+            } else if (m instanceof PgCodec.Ready r && (done != null || problem != null)) {
+                finish();
+                if (!closed && r.idle()) {
+                    free();
+                } else {
+                    close();
+                }
+            } else {
+                outOfOrder("an answer out of order");
+            }
+        }
+
+        private void outOfOrder(String what) {
+            log.often("server out of order", server.id.text() + ": " + what);
+            lost(what);
+        }
+
+        private void write(Sending x) {
+            sending = x;
+            x.on = this;
+            x.reach = Reach.IN_DOUBT;
+            told.clear();
+            column = null;
+            value = null;
+            done = null;
+            problem = null;
+            long left = x.limit - (Clock.now() - x.startedAt);
+            socket.write(x.text.bytes(Math.max(1, (left + 9) / 10))).onComplete(
+                    r -> x.reach = r.succeeded() ? Reach.WRITTEN : Reach.NOT_WRITTEN);
+        }
+
+        /** Takes the next send that waits, its own opener first, or is idle. */
+        private void free() {
+            sending = null;
+            Sending next = opener.over || opener.on != null ? server.waiting.stream().findFirst().orElse(null) : opener;
+            if (next != null) {
+                server.waiting.remove(next);
+                write(next);
+            } else if (!address.equals(server.address)) {
+                close();
+            } else {
+                idleSince = Clock.now();
+                server.free.addLast(this);
+                idle.add(this);
+            }
+        }
+
+        /** Tells the answer that has come. */
+        private void finish() {
+            Sending x = sending;
+            sending = null;
+            Telling note = note();
+            Telling report = terms.reportsInAnswers() ? report(told.get("vitals")) : null;
+            boolean probe = x.op == null;
+            if (problem != null) {
+                x.end(ending(problem.code(), probe), null, note, report);
+            } else if (value == null) {
+                x.end(Ending.ERRORED, null, note, report);
+            } else if (probe) {
+                Telling asked = terms.reportsInProbes() ? report(text(value.bytes())) : null;
+                x.end(Ending.ACKED, null, note, asked != null ? asked : report);
+            } else {
+                x.end(Ending.ACKED, new PgCodec.Row(column, value.bytes(), done.tag()), note, report);
+            }
+        }
+
+        private void close() {
+            if (!closed) {
+                closed = true;
+                connections--;
+                vertx.cancelTimer(openTimer);
+                server.free.remove(this);
+                idle.remove(this);
+                if (socket != null) {
+                    socket.close();
+                }
+            }
+        }
+
+        /** The connection has ended or never came up; what was out on it ends with it. */
+        private void lost(String why) {
+            if (closed) {
+                return;
+            }
+            close();
+            Sending x = up ? sending : opener;
+            if (x == null || x.over || !up && x.on != null) {
+                return;
+            }
+            log.often("connection lost", server.id.text() + " " + why + ", " + (up ? x.reach : Reach.NO_CONNECTION));
+            if (up && (problem != null || done != null && value != null)) {
+                finish();
+                return;
+            }
+            boolean written = x.reach == Reach.IN_DOUBT || x.reach == Reach.WRITTEN;
+            x.end(written ? Ending.BROKEN_OFF : Ending.NOT_CONNECTED, null, null, null);
+        }
+
+        private Telling note() {
+            Role role = role(told.get("rank"));
+            double position = number(told.get("as_of"));
+            return role == Role.UNKNOWN && Double.isNaN(position) ? null
+                    : new Telling(role, Double.isNaN(position) ? Telling.UNTOLD : (long) Math.floor(position) * 10);
+        }
+    }
+
+    private static Ending ending(String code, boolean probe) {
+        return switch (code) {
+            case "53300" -> Ending.FULL;
+            case "57P03" -> probe ? Ending.FULL : Ending.ERRORED;
+            case "25006", "72000" -> Ending.TURNED_AWAY;
+            default -> Ending.ERRORED;
+        };
+    }
+
+    private static Role role(String word) {
+        return "source".equals(word) ? Role.PRIMARY : "copy".equals(word) ? Role.REPLICA : Role.UNKNOWN;
+    }
+
+    /** A load report as text, its positions in Unix seconds; what is misshapen counts as not told. */
+    private static Telling report(String text) {
+        if (text == null) {
+            return null;
+        }
+        Map<String, Double> values = new HashMap<>();
+        for (String part : text.split(",")) {
+            int equals = part.indexOf('=');
+            double v = equals < 0 ? Double.NaN : number(part.substring(equals + 1).trim());
+            if (!Double.isNaN(v)) {
+                values.put(part.substring(0, equals).trim(), v);
+            }
+        }
+        return values.isEmpty() ? null : Terms.report(values.get("x0"), values.get("x1"),
+                values.getOrDefault("util", values.get("busy")), 0);
+    }
+
+    private static String text(byte[] bytes) {
+        return bytes == null || bytes.length > 1024 ? null : new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static double number(String text) {
+        try {
+            double v = text == null || text.length() > 24 ? Double.NaN : Double.parseDouble(text);
+            return Math.abs(v) < 1e14 ? v : Double.NaN;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- a/src/main/java/ploverdale/benchlink/Fields.java
+++ b/src/main/java/ploverdale/terms/Fields.java
@@ -1,4 +1,4 @@
-package ploverdale.benchlink;
+package ploverdale.terms;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -8,18 +8,18 @@
 import java.util.List;
 import java.util.Map;
 
-/** The fields of one wire object, read by name; absent numbers are 0, absent marks false. */
-final class Fields {
+/** The fields of one JSON object, read by name; absent numbers are 0, absent marks false. */
+public final class Fields {
     private final String owner;
     private final Map<String, Object> values;
 
-    Fields(String owner, Map<String, Object> values) {
+    public Fields(String owner, Map<String, Object> values) {
         this.owner = owner;
         this.values = values;
     }
 
     /** Reads the value that the parser stands on: map, list, text, long, double, boolean or null. */
-    static Object read(JsonParser p) throws IOException {
+    public static Object read(JsonParser p) throws IOException {
         switch (p.currentToken()) {
             case START_OBJECT: {
                 Map<String, Object> map = new LinkedHashMap<>();
@@ -53,54 +53,54 @@
     }
 
     /** The object that a named value holds. */
-    static Fields of(String owner, Object value) {
+    public static Fields of(String owner, Object value) {
         if (!(value instanceof Map<?, ?> map)) {
-            throw new WireFault(owner + " is not an object");
+            throw new Unreadable(owner + " is not an object");
         }
         Map<String, Object> copy = new LinkedHashMap<>();
         map.forEach((k, v) -> copy.put((String) k, v));
         return new Fields(owner, copy);
     }
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return values.get(name) != null;
     }
 
     private Object must(String name) {
         Object v = values.get(name);
         if (v == null) {
-            throw new WireFault(owner + " without field " + name);
+            throw new Unreadable(owner + " without field " + name);
         }
         return v;
     }
 
-    private WireFault bad(String name) {
-        return new WireFault(owner + " with a field " + name + " of the wrong form");
+    private Unreadable bad(String name) {
+        return new Unreadable(owner + " with a field " + name + " of the wrong form");
     }
 
-    String text(String name) {
+    public String text(String name) {
         if (must(name) instanceof String s) {
             return s;
         }
         throw bad(name);
     }
 
-    String text(String name, String absent) {
+    public String text(String name, String absent) {
         return has(name) ? text(name) : absent;
     }
 
-    long whole(String name) {
+    public long whole(String name) {
         if (must(name) instanceof Number n) {
             return n.longValue();
         }
         throw bad(name);
     }
 
-    long whole(String name, long absent) {
+    public long whole(String name, long absent) {
         return has(name) ? whole(name) : absent;
     }
 
-    double number(String name, double absent) {
+    public double number(String name, double absent) {
         if (!has(name)) {
             return absent;
         }
@@ -110,20 +110,20 @@
         throw bad(name);
     }
 
-    double number(String name) {
+    public double number(String name) {
         must(name);
         return number(name, 0);
     }
 
-    boolean mark(String name) {
+    public boolean mark(String name) {
         return Boolean.TRUE.equals(values.get(name));
     }
 
-    Fields object(String name) {
+    public Fields object(String name) {
         return has(name) ? of(owner + "." + name, values.get(name)) : new Fields(owner + "." + name, Map.of());
     }
 
-    List<Object> list(String name) {
+    public List<Object> list(String name) {
         if (!has(name)) {
             return List.of();
         }
@@ -134,12 +134,12 @@
     }
 
     /** Milliseconds to tenths, rounded down. */
-    static long down(double ms) {
+    public static long down(double ms) {
         return Math.floorDiv(Math.round(ms * 1000), 100);
     }
 
     /** Milliseconds to tenths, rounded up. */
-    static long up(double ms) {
+    public static long up(double ms) {
         return -Math.floorDiv(-Math.round(ms * 1000), 100);
     }
 }
--- /dev/null
+++ b/src/main/java/ploverdale/terms/Terms.java
@@ -0,0 +1,175 @@
+package ploverdale.terms;
+
+import java.util.ArrayList;
+import java.util.List;
+import ploverdale.model.CopyKeeping;
+import ploverdale.model.Happening;
+import ploverdale.model.OpType;
+import ploverdale.model.Permits;
+import ploverdale.model.Pledges;
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+import ploverdale.model.Tenant;
+
+/**
+ * What a gateway is told at its start, read for the simulator's wire and for the real gateway alike: what the
+ * module is started with, and what is needed to read names, reports and notes. Chooses nothing.
+ */
+public final class Terms {
+    private final Happening.Started started;
+    private final double positionZeroMs;
+    private final boolean positionsInNotes;
+    private final List<String> reportFields;
+    private final boolean reportsInAnswers;
+    private final boolean reportsInProbes;
+    private final List<String> opTypes;
+    private final List<String> tenants;
+    private final List<String> zones;
+    private final long connectLimit;
+    private final long idleLimit;
+
+    public Terms(long seed, Fields all) {
+        Fields special = all.object("specifics");
+        positionZeroMs = special.number("positionZeroMs", 0);
+        positionsInNotes = special.mark("positions");
+        reportFields = all.object("report").list("fields").stream().map(String::valueOf).toList();
+        String via = all.object("report").text("via", "silent");
+        reportsInAnswers = via.equals("piggyback");
+        reportsInProbes = reportsInAnswers || via.equals("pull");
+        opTypes = names(all, "profiles");
+        tenants = names(all, "accounts");
+        zones = all.list("zones").stream().map(String::valueOf).toList();
+        connectLimit = Fields.up(all.object("policyLimits").number("connectTimeoutMs", 1000));
+        idleLimit = Fields.down(all.object("policyLimits").number("idleCloseMs", 10_000));
+        started = started(seed, all, special);
+    }
+
+    /** What the module is started with. */
+    public Happening.Started started() {
+        return started;
+    }
+
+    public double positionZeroMs() {
+        return positionZeroMs;
+    }
+
+    public boolean positionsInNotes() {
+        return positionsInNotes;
+    }
+
+    public boolean reportsInAnswers() {
+        return reportsInAnswers;
+    }
+
+    public boolean reportsInProbes() {
+        return reportsInProbes;
+    }
+
+    /** Names of the values in a report, in the order of the simulator's wire. */
+    public List<String> reportFields() {
+        return reportFields;
+    }
+
+    public List<String> opTypes() {
+        return opTypes;
+    }
+
+    public List<String> tenants() {
+        return tenants;
+    }
+
+    public List<String> zones() {
+        return zones;
+    }
+
+    /** Within which a connection must be made, in tenths of a millisecond. */
+    public long connectLimit() {
+        return connectLimit;
+    }
+
+    /** After which a server closes an idle connection, in tenths of a millisecond. */
+    public long idleLimit() {
+        return idleLimit;
+    }
+
+    /** A load report, its values named; an absent one is null. Positions are counted from a zero. */
+    public static Telling report(Double position, Double role, Double busy, double zeroMs) {
+        return new Telling(role == null ? Role.UNKNOWN : role.intValue() == 1 ? Role.PRIMARY : Role.REPLICA,
+                position == null ? Telling.UNTOLD : Fields.down(zeroMs + position * 1000),
+                busy == null ? Double.NaN : busy);
+    }
+
+    private static List<String> names(Fields all, String list) {
+        List<String> names = new ArrayList<>();
+        for (Object o : all.list(list)) {
+            names.add(Fields.of(list, o).text("name", ""));
+        }
+        return List.copyOf(names);
+    }
+
+    private static Happening.Started started(long seed, Fields all, Fields special) {
+        List<Object> needs = special.list("classRead");
+        List<Object> bounds = special.list("oldestDataMs");
+        List<OpType> types = new ArrayList<>();
+        for (Object p : all.list("profiles")) {
+            Fields f = Fields.of("profiles", p);
+            int i = types.size();
+            long bound = i < bounds.size() && bounds.get(i) instanceof Number n ? Fields.down(n.doubleValue()) : 0;
+            types.add(new OpType(Fields.down(f.number("aimMs")), f.number("aimStretch", 0),
+                    Fields.down(f.number("deadlineMs")), repeats(f.text("effect", "once")),
+                    scope(f.text("dedupScope", "cell")), Fields.down(f.number("dedupWindowMs", 0)),
+                    f.number("worth", 1), f.number("lateShare", 0), f.mark("stream"),
+                    needs(i < needs.size() ? String.valueOf(needs.get(i)) : "mutate"), bound));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (Object a : all.list("accounts")) {
+            tenants.add(new Tenant(Fields.of("accounts", a).number("quotaPerS", 0)));
+        }
+        Fields rules = all.object("contract");
+        Pledges pledges = new Pledges(rules.number("startCapacity", 0), Fields.up(rules.number("coldMs", 0)),
+                rules.number("overloadFactor", 1), Fields.up(rules.number("overloadForMs", 0)),
+                !rules.mark("removalNotBinding"), Fields.down(rules.number("mustAskInMs", 0)));
+        Fields limits = all.object("policyLimits");
+        Permits permits = new Permits((int) limits.whole("sendCap", 1), limits.mark("cancel"), limits.mark("probes"),
+                limits.mark("retryAfter"), Fields.down(limits.number("maxRetryAfterMs", 0)));
+        CopyKeeping copies = new CopyKeeping(checks(special.text("checks", "silent")),
+                Fields.down(special.number("waitMs", 0)), special.text("tokens", "").equals("brought"));
+        return new Happening.Started(seed, (int) all.whole("balancers", 1), types, tenants,
+                all.number("overShareWorth", 1), pledges, permits, copies,
+                all.text("discovery", "").equals("subscribe"));
+    }
+
+    private static OpType.Repeats repeats(String word) {
+        return switch (word) {
+            case "repeatable" -> OpType.Repeats.RETRYABLE;
+            case "by_key" -> OpType.Repeats.TOKENED;
+            default -> OpType.Repeats.NON_RETRYABLE;
+        };
+    }
+
+    private static OpType.Scope scope(String word) {
+        return switch (word) {
+            case "all" -> OpType.Scope.ALL;
+            case "zone" -> OpType.Scope.ZONE;
+            default -> OpType.Scope.GROUP;
+        };
+    }
+
+    private static OpType.Needs needs(String word) {
+        return switch (word) {
+            case "strong" -> OpType.Needs.FRESH;
+            case "causal" -> OpType.Needs.SESSION;
+            case "lag_bound" -> OpType.Needs.BOUNDED;
+            case "eventual" -> OpType.Needs.UNBOUNDED;
+            default -> OpType.Needs.WRITE;
+        };
+    }
+
+    private static CopyKeeping.Checks checks(String word) {
+        return switch (word) {
+            case "bounce" -> CopyKeeping.Checks.TURNS_AWAY;
+            case "await" -> CopyKeeping.Checks.WAITS;
+            default -> CopyKeeping.Checks.NONE;
+        };
+    }
+}
