Warm up at the gateway's own address before the module hears of any server

Checked: a start on one core with nothing listening took 0.55 s, most of it loading classes; the rehearsal between toy servers on loopback lost the same three probes whenever no class archive was there, and none when it was. Excluded: the servers (they answered within 10 ms once the loop read them), GC (heap peak far below its bound), the front. The ops that got lost were those read after the standstill: their op timeout was counted from the reading, not from the sending. Wrong: Gateway told the module its list before a single connection had ever been made; ClientSide counted from the reading.

Now: the listener is bound first and the gateway probes itself 50 times there, queries that come early wait; then the module is started. What is read after a standstill of the loop counts as come at its beginning. Also found by the rehearsal: Vert.x closes a client that nobody holds; the toy's and the server's are held now.

--- a/src/main/java/ploverdale/Main.java
+++ b/src/main/java/ploverdale/Main.java
@@ -1,5 +1,6 @@
 package ploverdale;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -17,6 +18,9 @@
 import ploverdale.net.Gateway;
 import ploverdale.net.GatewayFile;
 import ploverdale.terms.Unreadable;
+import ploverdale.toy.Rehearsal;
+import ploverdale.toy.ToyClient;
+import ploverdale.toy.ToyServers;
 
 /** The command line. Exit codes: 0 done, 1 failed, 2 not understood. */
 public final class Main {
@@ -24,6 +28,9 @@
             usage: java -jar ploverdale.jar COMMAND
               serve [--config FILE]   one gateway; FILE, or else $EDGE_CONFIG, names its configuration
               check [--config FILE]   reads the configuration as serve does, and tells what it says
+              rehearse --config FILE  a gateway between toy servers and a toy client, in this process
+              toy --config FILE       toy database servers and discovery, at the addresses that FILE names
+              ask --config FILE QUERY one query through the gateway at the address that FILE names
               benchlink               the decisions on the simulator's wire, on standard input and output
               version                 the version
               help                    this text""";
@@ -37,6 +44,9 @@
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "check", impl = Check.class),
+        @SubCommand(name = "rehearse", impl = Rehearse.class),
+        @SubCommand(name = "toy", impl = Toy.class),
+        @SubCommand(name = "ask", impl = Ask.class),
         @SubCommand(name = "benchlink", impl = Bench.class),
         @SubCommand(name = "version", impl = Version.class),
         @SubCommand(name = "help", impl = Help.class)})
@@ -83,9 +93,9 @@
             Vertx vertx = Gateway.vertx();
             Gateway gateway;
             try {
-                gateway = Gateway.start(vertx, log, file).toCompletionStage().toCompletableFuture().get();
-            } catch (ExecutionException e) {
-                throw new IOException("cannot listen at " + file.listen() + ": " + e.getCause().getMessage());
+                gateway = await(Gateway.start(vertx, log, file));
+            } catch (IOException e) {
+                throw new IOException("cannot listen at " + file.listen() + ": " + e.getMessage());
             }
             CountDownLatch ended = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -114,6 +124,51 @@
         }
     }
 
+    /** A gateway, toy servers and a toy client in one process. */
+    public static final class Rehearse extends WithFile {
+        @Override
+        public int run() throws IOException, InterruptedException {
+            Vertx vertx = Gateway.vertx();
+            String told = await(Rehearsal.play(vertx, new Log(System.err), file()));
+            System.out.println(told);
+            return 0;
+        }
+    }
+
+    /** Toy servers and discovery, until stopped. */
+    public static final class Toy extends WithFile {
+        @Override
+        public int run() throws IOException, InterruptedException {
+            GatewayFile file = file();
+            ToyServers toy = await(ToyServers.start(Gateway.vertx(), file, false));
+            System.out.println(toy.entries().size() + " toy servers and discovery at " + toy.discovery() + " are up");
+            new CountDownLatch(1).await();
+            return 0;
+        }
+    }
+
+    /** One query. */
+    public static final class Ask extends WithFile {
+        @Argument(required = true, metaVar = "QUERY")
+        private String query;
+
+        @Override
+        public int run() throws IOException, InterruptedException {
+            Vertx vertx = Gateway.vertx();
+            String answer = await(ToyClient.connect(vertx, file().listen()).compose(c -> c.ask(query)));
+            System.out.println(answer);
+            return 0;
+        }
+    }
+
+    private static <T> T await(Future<T> future) throws IOException, InterruptedException {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get();
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage());
+        }
+    }
+
     /** The decisions on the simulator's wire. */
     public static final class Bench implements Command {
         @Override
--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -69,6 +70,8 @@
     private final Map<OpId, Taken> taken = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Set<Session> idle = new LinkedHashSet<>(); // longest first
+    private final List<Session> early = new ArrayList<>(); // asked before the module was told what it needs
+    private boolean ready;
     private boolean ending;
 
     public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, int sessionsMost) {
@@ -94,6 +97,13 @@
         sessions.add(new Session(socket));
     }
 
+    /** From now on queries are taken; those that came before are taken first. */
+    public void ready() {
+        ready = true;
+        early.forEach(Session::takeEarly);
+        early.clear();
+    }
+
     public int sessions() {
         return sessions.size();
     }
@@ -145,6 +155,7 @@
         private boolean paused;
         private boolean unread;
         private boolean skipping;
+        private PgCodec.FromClient first;
 
         Session(NetSocket socket) {
             this.socket = socket;
@@ -168,7 +179,7 @@
         }
 
         private void read() {
-            while (!closed && !deaf && slots.size() < AHEAD_MOST && !unread) {
+            while (!closed && !deaf && slots.size() < AHEAD_MOST && !unread && first == null) {
                 PgCodec.FromClient m = stream.next();
                 if (m == null) {
                     break;
@@ -178,8 +189,18 @@
             flow();
         }
 
+        private void takeEarly() {
+            PgCodec.FromClient m = first;
+            first = null;
+            message(m);
+            read();
+        }
+
         private void message(PgCodec.FromClient m) {
-            if (m instanceof PgCodec.OpAsk ask && !skipping) {
+            if (!ready && (m instanceof PgCodec.OpAsk || m instanceof PgCodec.EmptyAsk)) {
+                first = m;
+                early.add(this);
+            } else if (m instanceof PgCodec.OpAsk ask && !skipping) {
                 op(ask);
             } else if (m instanceof PgCodec.Hello) {
                 put(PgCodec.welcome());
@@ -201,7 +222,9 @@
         }
 
         private void bad(String code, String text, boolean ends) {
-            log.often("bad input from a client", code + " " + text);
+            if (ready) {
+                log.often("bad input from a client", code + " " + text);
+            }
             deaf |= ends;
             Slot slot = new Slot();
             slot.answer = PgCodec.problem(code, text, null, ends, !ends);
@@ -236,7 +259,7 @@
             taken.put(op, new Taken(ask, this, slot));
             Needs needs = terms.started().opTypes().get(type).needs();
             boolean inSession = ask.key() != null && (needs == Needs.WRITE || needs == Needs.SESSION);
-            long now = Clock.now();
+            long now = Clock.now() - loop.behind();
             long tokenAge = ask.afterMs() <= 0 ? 0 : Math.max(1, now - ask.afterMs() * 10); // 0 is the word for none
             loop.tell(new Happening.OpArrived(op, new OpTypeId(type), new TenantId(tenant), new GroupId(ask.group()),
                     inSession ? new SessionId(ask.key()) : null, now + (long) Math.floor(ask.waitMs() * 10),
@@ -278,7 +301,7 @@
 
         /** Guards against clients that write more than they read: they are held back. */
         private void flow() {
-            boolean hold = slots.size() >= AHEAD_MOST || unread;
+            boolean hold = slots.size() >= AHEAD_MOST || unread || first != null;
             if (hold != paused && !closed) {
                 paused = hold;
                 if (hold) {
@@ -299,6 +322,7 @@
                 return;
             }
             closed = true;
+            early.remove(this);
             sessions.remove(this);
             idle.remove(this);
             for (Slot s : slots) {
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -5,7 +5,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import ploverdale.log.Log;
@@ -24,6 +26,8 @@
  */
 public final class Gateway implements LogicLoop.Hands {
     private static final long STILL_ARRIVING_MS = 500; // after SIGTERM; new connections are served as before
+    private static final ServerId OWN = new ServerId(""); // stands for this gateway while it warms up
+    private static final int WARM_UP_ROUNDS = 50;
     private static final long LOOK_MS = 20;
     private static final long SPARE_MS = 300; // past the longest op timeout; then the restart waits no longer
 
@@ -34,6 +38,7 @@
     private final ClientSide clients;
     private final ServerSide servers;
     private final Discovery discovery;
+    private NetServer server; // held, since one that nobody holds may be closed
 
     private Gateway(Vertx vertx, Context context, Log log, GatewayFile file) {
         this.vertx = vertx;
@@ -61,10 +66,7 @@
         Context context = vertx.getOrCreateContext();
         Promise<Gateway> listening = Promise.promise();
         context.runOnContext(x -> {
-            Gateway g = new Gateway(vertx, context, log, file);
-            g.loop.tell(file.terms().started());
-            g.listed(file.known());
-            context.runOnContext(y -> g.listen(listening)); // behind what was just told
+            new Gateway(vertx, context, log, file).listen(listening);
         });
         return listening.future();
     }
@@ -74,14 +76,43 @@
                 .connectHandler(clients::accept)
                 .listen(file.listen().getPort(), file.listen().getAddress().getHostAddress())
                 .onSuccess(s -> {
-                    log.line("gateway " + file.name() + " listens at " + file.listen().getAddress().getHostAddress()
-                            + ":" + s.actualPort() + ", " + file.known().entries().size() + " servers known");
-                    discovery.follow();
-                    listening.complete(this);
+                    server = s;
+                    servers.reachedAt(OWN, new InetSocketAddress(file.listen().getAddress(), s.actualPort()));
+                    warmUp(0, () -> begin(listening));
                 })
                 .onFailure(listening::fail);
     }
 
+    /**
+     * Guards against a first probe that is late because this program is: the gateway first probes itself at its own
+     * address, which runs all that a probe and a query run, before the module hears of any server.
+     */
+    private void warmUp(int round, Runnable then) {
+        if (round == WARM_UP_ROUNDS) {
+            servers.closeIdle(OWN);
+            then.run();
+            return;
+        }
+        servers.probe(OWN, o -> vertx.runOnContext(x -> warmUp(round + 1, then)));
+    }
+
+    private void begin(Promise<Gateway> listening) {
+        loop.tell(file.terms().started());
+        listed(file.known());
+        discovery.follow();
+        loop.run(() -> { // behind what was just told
+            clients.ready();
+            log.line("gateway " + file.name() + " listens at " + file.listen().getAddress().getHostAddress()
+                    + ":" + port() + ", " + file.known().entries().size() + " servers known");
+            listening.complete(this);
+        });
+    }
+
+    /** Where it listens. */
+    public int port() {
+        return server.actualPort();
+    }
+
     private void listed(ServerList list) {
         List<Listing> listings = list.entries().stream().map(GatewayFile.Entry::listing).toList();
         for (GatewayFile.Entry e : list.entries()) {
--- a/src/main/java/ploverdale/net/LogicLoop.java
+++ b/src/main/java/ploverdale/net/LogicLoop.java
@@ -33,6 +33,8 @@
         void followList();
     }
 
+    private static final long TICK_MS = 10;
+
     private final Vertx vertx;
     private final Context context;
     private final Log log;
@@ -40,12 +42,22 @@
     private final Logic logic = new Logic();
     private final Deque<Happening> queue = new ArrayDeque<>();
     private boolean due;
+    private long lastTick = Clock.now();
 
     public LogicLoop(Vertx vertx, Context context, Log log, Hands hands) {
         this.vertx = vertx;
         this.context = context;
         this.log = log;
         this.hands = hands;
+        vertx.setPeriodic(TICK_MS, x -> lastTick = Clock.now());
+    }
+
+    /**
+     * For how long this loop has stood still, in tenths of a millisecond. Guards against ops answered too late: what
+     * is read after a standstill may have come at its beginning, and a client counts from its sending.
+     */
+    public long behind() {
+        return Math.max(0, Clock.now() - lastTick - 2 * TICK_MS * 10);
     }
 
     /** Unix time in tenths of a millisecond, rounded down, as every machine reads it. */
--- /dev/null
+++ b/src/main/java/ploverdale/toy/ToyClient.java
@@ -0,0 +1,86 @@
+package ploverdale.toy;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import ploverdale.net.PgCodec;
+
+/**
+ * Owns one connection to a gateway and asks queries on it, one after another, for a first try of the gateway.
+ * Must never be used for load: it waits for each answer.
+ */
+public final class ToyClient {
+    private final NetSocket socket;
+    private final PgCodec.ServerStream stream = new PgCodec.ServerStream();
+    private final Deque<Promise<String>> waiting = new ArrayDeque<>();
+    private final StringBuilder answer = new StringBuilder();
+
+    private final NetClient net; // held, since one that nobody holds is closed with its connections
+
+    private ToyClient(NetClient net, NetSocket socket) {
+        this.net = net;
+        this.socket = socket;
+        waiting.add(Promise.promise());
+        socket.handler(this::bytes);
+        socket.closeHandler(x -> waiting.forEach(p -> p.tryFail("the gateway closed the connection")));
+        socket.write(PgCodec.hello());
+    }
+
+    /** Connects and greets. */
+    public static Future<ToyClient> connect(Vertx vertx, InetSocketAddress to) {
+        NetClient net = vertx.createNetClient(new NetClientOptions().setConnectTimeout(2000).setTcpNoDelay(true));
+        return net.connect(SocketAddress.inetSocketAddress(to)).compose(s -> {
+            ToyClient c = new ToyClient(net, s);
+            return c.waiting.peek().future().map(c);
+        });
+    }
+
+    /** Ends the connection. */
+    public Future<Void> close() {
+        return net.close();
+    }
+
+    /** Asks one query; the future holds what came back, in words. */
+    public Future<String> ask(String text) {
+        Promise<String> p = Promise.promise();
+        waiting.add(p);
+        byte[] bytes = text.getBytes(UTF_8);
+        socket.write(Buffer.buffer().appendByte((byte) 'Q').appendInt(5 + bytes.length).appendBytes(bytes)
+                .appendByte((byte) 0));
+        return p.future();
+    }
+
+    private void bytes(Buffer more) {
+        stream.feed(more);
+        for (PgCodec.FromServer m = stream.next(); m != null; m = stream.next()) {
+            if (m instanceof PgCodec.Value v) {
+                answer.append("row ").append(v.bytes() == null ? "null" : new String(v.bytes(), UTF_8)).append("; ");
+            } else if (m instanceof PgCodec.Done d) {
+                answer.append(d.tag().isEmpty() ? "empty" : d.tag());
+            } else if (m instanceof PgCodec.Problem p) {
+                answer.append("refused or failed: ").append(p.code()).append(' ').append(p.text());
+            } else if (m instanceof PgCodec.Garbled g) {
+                waiting.poll().tryFail("cannot be read: " + g.what());
+                socket.close();
+                return;
+            } else if (m instanceof PgCodec.Ready) {
+                Promise<String> p = waiting.poll();
+                String text = answer.toString();
+                answer.setLength(0);
+                if (p != null) {
+                    p.complete(text);
+                }
+            }
+        }
+    }
+}
