--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import ploverdale.log.Log;
 import ploverdale.model.GroupId;
 import ploverdale.model.Happening;
@@ -30,6 +31,8 @@
 public final class ClientSide {
     private static final int AHEAD_MOST = 32; // commands of one client taken before their answers are out
     private static final long GREETING_MS = 5000; // for a first message to be whole
+    private static final long MESSAGE_MS = 5000; // for any other, where there is much to hold
+    private static final long LOAD_MOST = 16 * 1024 * 1024; // beyond, no more is read until some is answered
     private static final long UNREAD_MS = 5000; // for a client to read on, before it is closed
 
     /** An op in hand. */
@@ -66,29 +69,28 @@
     private final Log log;
     private final LogicLoop loop;
     private final Terms terms;
-    private final int sessionsMost;
+    private final BooleanSupplier room;
     private final Map<OpId, Taken> taken = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Set<Session> idle = new LinkedHashSet<>(); // longest first
     private final List<Session> early = new ArrayList<>(); // asked before the module was told what it needs
+    private final Set<Session> heldBack = new LinkedHashSet<>(); // until the load is less
+    private long load; // bytes of ops in hand and of messages not yet whole
     private boolean ready;
     private boolean ending;
 
-    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, int sessionsMost) {
+    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, BooleanSupplier room) {
         this.vertx = vertx;
         this.log = log;
         this.loop = loop;
         this.terms = terms;
-        this.sessionsMost = sessionsMost;
+        this.room = room;
     }
 
-    /** Takes in a connection; over the bound the longest idle one makes way, or the new one is turned away. */
+    /** Takes in a connection, or turns it away where there is no room for one. */
     public void accept(NetSocket socket) {
-        if (sessions.size() >= sessionsMost && !idle.isEmpty()) {
-            idle.iterator().next().close();
-        }
-        if (sessions.size() >= sessionsMost) {
-            log.often("clients over their bound", sessions.size() + " connections, one turned away");
+        if (!room.getAsBoolean()) {
+            log.often("no room for a connection", "of a client, " + sessions.size() + " of clients");
             socket.exceptionHandler(e -> { });
             socket.write(PgCodec.problem("53300", "too many connections", null, true, false));
             socket.close();
@@ -108,6 +110,15 @@
         return sessions.size();
     }
 
+    /** Closes the connection that has been idle longest; false where none is idle. */
+    public boolean closeLongestIdle() {
+        if (idle.isEmpty()) {
+            return false;
+        }
+        idle.iterator().next().close();
+        return true;
+    }
+
     public int opsInHand() {
         return taken.size();
     }
@@ -137,9 +148,19 @@
         answer(op, PgCodec.problem("58000", "the op failed; whether it ran is not known", null, false, true));
     }
 
+    private void lighter(long by) {
+        load -= by;
+        if (load < LOAD_MOST && !heldBack.isEmpty()) {
+            List<Session> all = List.copyOf(heldBack);
+            heldBack.clear();
+            vertx.runOnContext(x -> all.forEach(Session::read));
+        }
+    }
+
     private void answer(OpId op, Buffer answer) {
         Taken t = taken.remove(op);
         if (t != null) {
+            lighter(t.ask.text().length);
             t.slot.answer = answer;
             t.session.flush();
         }
@@ -156,6 +177,7 @@
         private boolean unread;
         private boolean skipping;
         private PgCodec.FromClient first;
+        private int partial;
 
         Session(NetSocket socket) {
             this.socket = socket;
@@ -174,19 +196,28 @@
             if (closed || deaf) {
                 return;
             }
-            stream.feed(more);
-            read();
+            try {
+                stream.feed(more);
+                read();
+            } catch (RuntimeException e) { // ends here: this connection, nothing else
+                log.fault("client connection fault", e);
+                close();
+            }
         }
 
         private void read() {
-            while (!closed && !deaf && slots.size() < AHEAD_MOST && !unread && first == null) {
+            while (!closed && !deaf && load < LOAD_MOST && slots.size() < AHEAD_MOST && !unread && first == null) {
                 PgCodec.FromClient m = stream.next();
                 if (m == null) {
                     break;
                 }
                 message(m);
             }
-            flow();
+            if (!closed) {
+                load += stream.held() - partial;
+                partial = stream.held();
+                flow();
+            }
         }
 
         private void takeEarly() {
@@ -257,6 +288,7 @@
             slot.op = op;
             slots.add(slot);
             taken.put(op, new Taken(ask, this, slot));
+            load += ask.text().length;
             Needs needs = terms.started().opTypes().get(type).needs();
             boolean inSession = ask.key() != null && (needs == Needs.WRITE || needs == Needs.SESSION);
             long now = Clock.now() - loop.behind();
@@ -301,8 +333,9 @@
 
         /** Guards against clients that write more than they read: they are held back. */
         private void flow() {
-            boolean hold = slots.size() >= AHEAD_MOST || unread || first != null;
-            if (hold != paused && !closed) {
+            boolean hold = slots.size() >= AHEAD_MOST || unread || first != null || load >= LOAD_MOST;
+            waitForLess(hold && load >= LOAD_MOST);
+            if (hold != paused) {
                 paused = hold;
                 if (hold) {
                     socket.pause();
@@ -312,6 +345,19 @@
             }
         }
 
+        /** Guards against many messages that are begun and never end: over the bound they end with their connection. */
+        private void waitForLess(boolean byLoad) {
+            if (!byLoad || !heldBack.add(this)) {
+                return;
+            }
+            vertx.setTimer(MESSAGE_MS, x -> {
+                if (heldBack.contains(this) && partial > 0 && slots.isEmpty()) {
+                    log.often("client held back", "closed with " + partial + " bytes of a message, " + load + " held");
+                    close();
+                }
+            });
+        }
+
         private void close() {
             gone();
             socket.close();
@@ -322,12 +368,15 @@
                 return;
             }
             closed = true;
+            lighter(partial);
+            partial = 0;
+            heldBack.remove(this);
             early.remove(this);
             sessions.remove(this);
             idle.remove(this);
             for (Slot s : slots) {
                 if (s.op != null && s.answer == null) {
-                    taken.remove(s.op);
+                    lighter(taken.remove(s.op).ask.text().length);
                     loop.tell(new Happening.ClientLeft(s.op));
                 }
             }
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -38,6 +38,7 @@
     private final ClientSide clients;
     private final ServerSide servers;
     private final Discovery discovery;
+    private final int room;
     private NetServer server; // held, since one that nobody holds may be closed
 
     private Gateway(Vertx vertx, Context context, Log log, GatewayFile file) {
@@ -45,10 +46,10 @@
         this.log = log;
         this.file = file;
         int spare = Math.max(16, file.sockets() / 8); // for the program's own files, discovery, crossing closes
-        int half = (file.sockets() - spare) / 2;
+        room = file.sockets() - spare;
         loop = new LogicLoop(vertx, context, log, this);
-        clients = new ClientSide(vertx, log, loop, file.terms(), half);
-        servers = new ServerSide(vertx, log, file.terms(), half);
+        clients = new ClientSide(vertx, log, loop, file.terms(), this::makeRoom);
+        servers = new ServerSide(vertx, log, file.terms(), this::makeRoom);
         discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
     }
 
@@ -108,6 +109,14 @@
         });
     }
 
+    /** Room for one more connection of either side: the longest idle one makes way, whose side it may be. */
+    private boolean makeRoom() {
+        if (clients.sessions() + servers.connections() >= room && !servers.closeLongestIdle()) {
+            clients.closeLongestIdle();
+        }
+        return clients.sessions() + servers.connections() < room;
+    }
+
     /** Where it listens. */
     public int port() {
         return server.actualPort();
@@ -116,7 +125,12 @@
     private void listed(ServerList list) {
         List<Listing> listings = list.entries().stream().map(GatewayFile.Entry::listing).toList();
         for (GatewayFile.Entry e : list.entries()) {
-            servers.reachedAt(e.listing().server(), e.address());
+            if (e.address() != null) {
+                servers.reachedAt(e.listing().server(), e.address());
+            }
+            if (e.listing().stage() == Listing.Stage.GONE) {
+                servers.closeIdle(e.listing().server());
+            }
         }
         loop.tell(new Happening.ListTold(list.whole(), false, listings));
     }
--- a/src/main/java/ploverdale/net/GatewayFile.java
+++ b/src/main/java/ploverdale/net/GatewayFile.java
@@ -31,7 +31,7 @@
     /** A list of servers, whole or its changes, with where each is reached; unusable entries are left out. */
     public record ServerList(long revision, boolean whole, List<Entry> entries, List<String> leftOut) {}
 
-    /** One entry. */
+    /** One entry; a server that is gone may have no address. */
     public record Entry(Listing listing, InetSocketAddress address) {}
 
     /** Reads the file; what is missing or misshapen is named in the exception's one line. */
@@ -50,7 +50,10 @@
         if (terms.opTypes().isEmpty()) {
             throw new Unreadable("configuration.settings without field profiles");
         }
-        long sockets = all.object("limits").whole("sockets", 1024);
+        if (!all.has("limits")) {
+            throw new Unreadable("configuration without field limits");
+        }
+        long sockets = all.object("limits").whole("sockets");
         if (sockets < 64 || sockets > 1_000_000) {
             throw new Unreadable("configuration.limits with a field sockets out of range: " + sockets);
         }
@@ -86,28 +89,39 @@
 
     /** A list as discovery words it; the zones are those of the settings, others get the places behind them. */
     public static ServerList serverList(Fields f, Terms terms) {
+        for (String field : List.of("revision", "members")) {
+            if (!f.has(field)) {
+                throw new Unreadable("a list of servers without field " + field);
+            }
+        }
         List<Entry> entries = new ArrayList<>();
         List<String> leftOut = new ArrayList<>();
         for (Object row : f.list("members")) {
-            Fields e = Fields.of("members", row);
-            String id = e.text("id");
-            Listing.Stage stage = switch (e.text("phase", "")) {
-                case "DRAINING" -> Listing.Stage.DRAINING;
-                case "DELETED" -> Listing.Stage.GONE;
-                case "SERVING" -> Listing.Stage.IN;
-                default -> null;
-            };
-            InetSocketAddress address = parse(e.text("host_port", ""));
-            if (stage == null || address == null) {
-                leftOut.add(id + " (" + e.text("phase", "no phase") + " at " + e.text("host_port", "no address") + ")");
-                continue;
+            try {
+                entries.add(entry(Fields.of("members", row), terms));
+            } catch (Unreadable e) {
+                leftOut.add(e.getMessage());
             }
-            int zone = terms.zones().indexOf(e.text("locality", ""));
-            entries.add(new Entry(new Listing(new ServerId(id), new GroupId((long) e.number("cell", 0)),
-                    new ZoneId(zone < 0 ? terms.zones().size() : zone), stage, e.text("rank", "").equals("source"),
-                    Fields.up(e.number("up_since_ms", 0))), address));
         }
-        return new ServerList(f.whole("revision", 0), f.mark("complete"), entries, leftOut);
+        return new ServerList(f.whole("revision"), f.mark("complete"), entries, leftOut);
+    }
+
+    private static Entry entry(Fields e, Terms terms) {
+        String id = e.text("id");
+        Listing.Stage stage = switch (e.text("phase")) {
+            case "DRAINING" -> Listing.Stage.DRAINING;
+            case "DELETED" -> Listing.Stage.GONE;
+            case "SERVING" -> Listing.Stage.IN;
+            default -> throw new Unreadable(id + " with a phase " + e.text("phase"));
+        };
+        InetSocketAddress address = parse(e.text("host_port", ""));
+        if (address == null && stage != Listing.Stage.GONE) {
+            throw new Unreadable(id + " without an address that can be used: " + e.text("host_port", ""));
+        }
+        int zone = terms.zones().indexOf(e.text("locality", ""));
+        return new Entry(new Listing(new ServerId(id), new GroupId((long) e.number("cell", 0)),
+                new ZoneId(zone < 0 ? terms.zones().size() : zone), stage, e.text("rank", "").equals("source"),
+                Fields.up(e.number("up_since_ms", 0))), address);
     }
 
     private static InetSocketAddress address(String field, String text) {
--- a/src/main/java/ploverdale/net/PgCodec.java
+++ b/src/main/java/ploverdale/net/PgCodec.java
@@ -64,6 +64,11 @@
             return greeted;
         }
 
+        /** Bytes come and not yet cut. */
+        public int held() {
+            return frames.size();
+        }
+
         /** The next message, or null until more bytes have come. */
         public FromClient next() {
             return greeted ? nextMessage() : nextHello();
--- a/src/main/java/ploverdale/net/ServerSide.java
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import ploverdale.log.Log;
 import ploverdale.model.Happening.Ending;
 import ploverdale.model.OpId;
@@ -46,26 +47,27 @@
     }
 
     private static final int IDLE_PARTS = 5; // an idle connection is closed with a fifth of its time left
-    private static final long LOOK_MS = 500; // for idle connections; short beside any idle limit
+    private static final int TOLD_MOST = 64; // a bound on memory; an answer tells a few
+    private static final int LOOKS = 50; // for idle connections, in the time that one may be idle
 
     private final Vertx vertx;
     private final Log log;
     private final Terms terms;
-    private final int connectionsMost;
+    private final BooleanSupplier room;
     private final NetClient net;
     private final Map<ServerId, Server> servers = new HashMap<>();
     private final Map<OpId, Sending> byOp = new HashMap<>();
     private final Set<Connection> idle = new LinkedHashSet<>(); // longest first
     private int connections;
 
-    public ServerSide(Vertx vertx, Log log, Terms terms, int connectionsMost) {
+    public ServerSide(Vertx vertx, Log log, Terms terms, BooleanSupplier room) {
         this.vertx = vertx;
         this.log = log;
         this.terms = terms;
-        this.connectionsMost = connectionsMost;
+        this.room = room;
         net = vertx.createNetClient(new NetClientOptions().setConnectTimeout((int) ((terms.connectLimit() + 9) / 10))
                 .setReconnectAttempts(0).setTcpNoDelay(true));
-        vertx.setPeriodic(LOOK_MS, x -> closeOld());
+        vertx.setPeriodic(Math.max(10, terms.idleLimit() / 10 / LOOKS), x -> closeOld());
     }
 
     private static final class Server {
@@ -167,6 +169,15 @@
         }
     }
 
+    /** Closes the connection that has been idle longest; false where none is idle. */
+    public boolean closeLongestIdle() {
+        if (idle.isEmpty()) {
+            return false;
+        }
+        idle.iterator().next().close();
+        return true;
+    }
+
     /** What was not written whole has not run, whoever stopped waiting. */
     private void giveUp(Sending x, Ending ending) {
         if (x.over) {
@@ -190,12 +201,8 @@
     }
 
     private boolean open(Server s, Sending opener) {
-        if (connections >= connectionsMost && !idle.isEmpty()) {
-            idle.iterator().next().close();
-        }
-        if (connections >= connectionsMost || s.address == null) {
-            log.often("servers over their bound", connections + " connections, none idle; a send to " + s.id.text()
-                    + " not made");
+        if (s.address == null || !room.getAsBoolean()) {
+            log.often("no room for a connection", "to server " + s.id.text() + ", " + connections + " to servers");
             return false;
         }
         new Connection(s, opener).open();
@@ -242,7 +249,14 @@
                 }
                 socket.exceptionHandler(e -> { }); // the close that follows tells
                 socket.closeHandler(x -> lost("closed by the server"));
-                socket.handler(this::bytes);
+                socket.handler(b -> {
+                    try {
+                        bytes(b);
+                    } catch (RuntimeException e) { // ends here: this connection, nothing else
+                        log.fault("server connection fault", e);
+                        lost("fault");
+                    }
+                });
                 socket.write(PgCodec.hello());
             });
         }
@@ -260,6 +274,9 @@
             } else if (m instanceof PgCodec.Aside) {
                 return;
             } else if (m instanceof PgCodec.Told t) {
+                if (told.size() >= TOLD_MOST) {
+                    outOfOrder(TOLD_MOST + " values told before an answer");
+                }
                 told.put(t.name(), t.value());
             } else if (!up) {
                 if (m instanceof PgCodec.Ready) {
@@ -309,8 +326,12 @@
             done = null;
             problem = null;
             long left = x.limit - (Clock.now() - x.startedAt);
-            socket.write(x.text.bytes(Math.max(1, (left + 9) / 10))).onComplete(
-                    r -> x.reach = r.succeeded() ? Reach.WRITTEN : Reach.NOT_WRITTEN);
+            socket.write(x.text.bytes(Math.max(1, (left + 9) / 10))).onComplete(r -> {
+                x.reach = r.succeeded() ? Reach.WRITTEN : Reach.NOT_WRITTEN;
+                if (r.failed()) {
+                    lost("not written whole");
+                }
+            });
         }
 
         /** Takes the next send that waits, its own opener first, or is idle. */
--- /dev/null
+++ b/src/test/java/ploverdale/GatewayFileTest.java
@@ -0,0 +1,75 @@
+package ploverdale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import ploverdale.model.Listing.Stage;
+import ploverdale.net.GatewayFile;
+import ploverdale.terms.Unreadable;
+
+/** What a gateway is told at its start, and what it says of a file it cannot use. */
+class GatewayFileTest {
+    private static final String GOOD = """
+            {"name":"n1","listen":"127.0.0.1:7000","discovery":"127.0.0.1:7001","seed":"ffffffffffffffff",
+            "limits":{"sockets":256},"known":{"revision":3,"complete":true,"members":[
+            {"id":"a","host_port":"127.0.0.1:7100","locality":"z2","cell":4,"phase":"SERVING","up_since_ms":12},
+            {"id":"b","host_port":"db.example:7100","phase":"SERVING"},
+            {"id":"c","phase":"DELETED"},{"host_port":"127.0.0.1:7102","phase":"SERVING"}]},
+            "settings":{"zones":["z1","z2"],"profiles":[
+            {"name":"page","aimMs":10,"deadlineMs":20,"effect":"repeatable"}]}}""";
+
+    @TempDir
+    private Path dir;
+
+    private GatewayFile read(String text) throws IOException {
+        return GatewayFile.read(Files.writeString(dir.resolve("c.json"), text));
+    }
+
+    @Test
+    void entriesWithoutAUsableAddressAreLeftOutAndNamed() throws IOException {
+        GatewayFile f = read(GOOD);
+        assertThat(f.seed()).isEqualTo(-1);
+        assertThat(f.known().entries()).hasSize(2);
+        GatewayFile.Entry a = f.known().entries().get(0);
+        assertThat(a.address().getPort()).isEqualTo(7100);
+        assertThat(a.listing().zone().number()).isEqualTo(1);
+        assertThat(a.listing().startedAt()).isEqualTo(120);
+        assertThat(f.known().entries().get(1).listing().stage()).isEqualTo(Stage.GONE);
+        assertThat(f.known().leftOut()).hasSize(2);
+        assertThat(f.known().leftOut().get(0)).contains("b").contains("db.example");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"name\":\"n1\", | name", "\"listen\":\"127.0.0.1:7000\", | listen", "\"seed\":\"ffffffffffffffff\", | seed",
+        "\"limits\":{\"sockets\":256}, | limits", "\"sockets\":256 | sockets", "\"revision\":3, | revision",
+        "\"discovery\":\"127.0.0.1:7001\", | discovery", ",\"deadlineMs\":20 | deadlineMs"})
+    void aFieldThatLacksIsNamed(String left, String named) {
+        assertThatThrownBy(() -> read(GOOD.replace(left, ""))).isInstanceOf(Unreadable.class).hasMessageContaining(named);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "127.0.0.1:7000 | localhost:7000 | listen", "127.0.0.1:7001 | 127.0.0.1 | discovery",
+        "127.0.0.1:7000 | 127.0.0.300:7000 | listen", "ffffffffffffffff | none | seed", "256 | 3 | sockets",
+        "256 | \"many\" | sockets", "\"n1\" | 7 | name", "\"aimMs\":10 | \"aimMs\":\"soon\" | aimMs"})
+    void aFieldOfTheWrongFormIsNamed(String right, String wrong, String named) {
+        assertThatThrownBy(() -> read(GOOD.replace(right, wrong))).isInstanceOf(Unreadable.class)
+                .hasMessageContaining(named);
+    }
+
+    @Test
+    void aFileThatLacksOrIsNotJsonIsSaidSo() {
+        assertThatThrownBy(() -> GatewayFile.read(dir.resolve("none.json"))).isInstanceOf(Unreadable.class)
+                .hasMessageContaining("none.json");
+        assertThatThrownBy(() -> read("{\"name\":")).isInstanceOf(Unreadable.class).hasMessageContaining("not JSON");
+        assertThatThrownBy(() -> read("[1]")).isInstanceOf(Unreadable.class).hasMessageContaining("not a JSON object");
+    }
+}
