--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -29,7 +29,7 @@
  * twice, or keep more of a client that does not read than its bounds allow.
  */
 public final class ClientSide {
-    private static final int AHEAD_MOST = 32; // commands of one client taken before their answers are out
+    private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
     private static final long GREETING_MS = 5000; // for a first message to be whole
     private static final long MESSAGE_MS = 5000; // for any other, where there is much to hold
     private static final long LOAD_MOST = 16 * 1024 * 1024; // beyond, no more is read until some is answered
@@ -75,7 +75,7 @@
     private final Set<Session> idle = new LinkedHashSet<>(); // longest first
     private final List<Session> early = new ArrayList<>(); // asked before the module was told what it needs
     private final Set<Session> heldBack = new LinkedHashSet<>(); // until the load is less
-    private long load; // bytes of ops in hand and of messages not yet whole
+    private long load; // bytes of ops in hand, of messages not yet whole and of answers not yet read
     private boolean ready;
     private boolean ending;
 
@@ -178,6 +178,7 @@
         private boolean skipping;
         private PgCodec.FromClient first;
         private int partial;
+        private long unreadBytes;
 
         Session(NetSocket socket) {
             this.socket = socket;
@@ -303,6 +304,10 @@
             while (!closed && !slots.isEmpty() && slots.peek().answer != null) {
                 Slot s = slots.poll();
                 socket.write(s.answer);
+                if (unread || socket.writeQueueFull()) {
+                    unreadBytes += s.answer.length();
+                    load += s.answer.length();
+                }
                 if (s.ends) {
                     close();
                 }
@@ -323,6 +328,8 @@
                 socket.drainHandler(x -> {
                     vertx.cancelTimer(timer);
                     unread = false;
+                    lighter(unreadBytes);
+                    unreadBytes = 0;
                     read();
                 });
             }
@@ -368,8 +375,9 @@
                 return;
             }
             closed = true;
-            lighter(partial);
+            lighter(partial + unreadBytes);
             partial = 0;
+            unreadBytes = 0;
             heldBack.remove(this);
             early.remove(this);
             sessions.remove(this);
--- a/src/main/java/ploverdale/net/Discovery.java
+++ b/src/main/java/ploverdale/net/Discovery.java
@@ -65,10 +65,10 @@
                 .setHost(at.getAddress().getHostAddress()).setPort(at.getPort());
         HttpClientRequest[] request = new HttpClientRequest[1];
         long timer = vertx.setTimer((whole ? 0 : HOLD_MS) + GRACE_MS, x -> {
+            failed(mine, "no answer");
             if (request[0] != null) {
                 request[0].reset();
             }
-            failed(mine, "no answer");
         });
         http.request(what).compose(r -> {
             request[0] = r;
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -1,7 +1,33 @@
 package ploverdale;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import ploverdale.log.Log;
 import ploverdale.model.Action;
 import ploverdale.model.CopyKeeping;
 import ploverdale.model.GroupId;
@@ -22,8 +48,14 @@
 import ploverdale.model.Tenant;
 import ploverdale.model.TenantId;
 import ploverdale.model.ZoneId;
+import ploverdale.net.Gateway;
+import ploverdale.net.GatewayFile;
+import ploverdale.net.PgCodec;
 
-/** Stands in for a gateway's surroundings; the clock moves only when a story says so. Times in milliseconds. */
+/**
+ * Stands in for the module's surroundings; the clock moves only when a story says so. Times in milliseconds. Its
+ * nested classes stand in for those of a real gateway, on loopback.
+ */
 final class FakeHost {
     static final int VIEW = 0;
     static final int HISTORY = 1;
@@ -164,4 +196,372 @@
     boolean logged(String part) {
         return acts.stream().anyMatch(a -> a instanceof Action.LogLine l && l.text().contains(part));
     }
+
+    /** Stand-ins on loopback for all that surrounds a real gateway; a story drives them by hand. */
+    static final class Net implements AutoCloseable {
+        static final long PATIENCE_S = 20; // long, for loaded machines; nothing waits so long when all is well
+        private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+        private final List<AutoCloseable> open = new ArrayList<>();
+        final Vertx vertx = Gateway.vertx();
+        final Map<String, Server> servers = new LinkedHashMap<>();
+        final Registry registry;
+        Gateway gateway;
+        private int names;
+
+        /** A gateway among servers, the first of them the primary; not yet started. */
+        Net(String... ids) throws IOException {
+            for (String id : ids) {
+                servers.put(id, new Server(id.startsWith("p")));
+            }
+            registry = new Registry(list(1, true, ids));
+        }
+
+        /** The list as discovery words it; an id with a colon names its phase. */
+        String list(int revision, boolean whole, String... ids) {
+            List<String> rows = new ArrayList<>();
+            for (String id : ids) {
+                String[] parts = id.split(":");
+                rows.add("{\"id\":\"" + parts[0] + "\",\"host_port\":\"127.0.0.1:" + servers.get(parts[0]).port()
+                        + "\",\"cell\":1,\"phase\":\"" + (parts.length > 1 ? parts[1] : "SERVING") + "\"}");
+            }
+            return "{\"revision\":" + revision + ",\"complete\":" + whole + ",\"members\":[" + String.join(",", rows)
+                    + "]}";
+        }
+
+        Net started() throws Exception {
+            return started(256, 30_000);
+        }
+
+        Net started(int sockets, long idleMs) throws Exception {
+            String text = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + registry.port()
+                    + "\",\"seed\":\"7\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + registry.whole + ","
+                    + "\"settings\":{\"balancers\":1,\"accounts\":[{\"name\":\"north\",\"quotaPerS\":1000}],\"profiles\":["
+                    + "{\"name\":\"page\",\"aimMs\":10000,\"deadlineMs\":20000,\"effect\":\"repeatable\",\"worth\":1},"
+                    + "{\"name\":\"quick\",\"aimMs\":600,\"deadlineMs\":1000,\"effect\":\"repeatable\",\"worth\":1},"
+                    + "{\"name\":\"order\",\"aimMs\":10000,\"deadlineMs\":20000,\"effect\":\"once\",\"worth\":5,"
+                    + "\"lateShare\":0.5}],\"specifics\":{\"classRead\":[\"lag_bound\",\"eventual\",\"mutate\"],"
+                    + "\"oldestDataMs\":[30000,0,0],\"positions\":true,\"checks\":\"silent\"},"
+                    + "\"report\":{\"via\":\"piggyback\",\"fields\":[\"x0\",\"x1\",\"busy\"]},"
+                    + "\"policyLimits\":{\"sendCap\":4,\"cancel\":true,\"probes\":true,\"retryAfter\":true,"
+                    + "\"maxRetryAfterMs\":1000,\"connectTimeoutMs\":2000,\"idleCloseMs\":" + idleMs + "},\"contract\":{"
+                    + "\"startCapacity\":0.3,\"coldMs\":10000,\"overloadFactor\":3,\"overloadForMs\":1000}}}";
+            Path file = Files.createTempFile("gateway", ".json");
+            GatewayFile read = GatewayFile.read(Files.writeString(file, text));
+            Files.delete(file);
+            gateway = Gateway.start(vertx, new Log(new PrintStream(lines, true)), read).toCompletionStage()
+                    .toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+            return this;
+        }
+
+        /** Waits until the log has a line with this. */
+        void logged(String part) {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+            while (!lines.toString().contains(part)) {
+                assertThat(System.nanoTime()).as("the log has \"%s\":\n%s", part, lines).isLessThan(end);
+                Thread.onSpinWait();
+            }
+        }
+
+        /** What the log says, for a story that goes wrong. */
+        String log() {
+            return lines.toString();
+        }
+
+        /** The text of a query; each call another op. */
+        String op(String type) {
+            return op(type, 15_000);
+        }
+
+        String op(String type, long waitMs) {
+            String comment = " /* id=" + Integer.toHexString(++names) + ",c=" + type + ",t=north,d=" + waitMs
+                    + ",cluster=1 */";
+            return (type.equals("order") ? "INSERT INTO state (uid, val) VALUES ('k', '\\x01') RETURNING val"
+                    : "SELECT val FROM state WHERE uid = 'k'") + comment;
+        }
+
+        /** Reads as clients do, which come back when told that it does no harm, for instance before any probe is in. */
+        String read(Client c) throws IOException {
+            String answer = "53300";
+            for (int i = 0; i < 100 && answer.startsWith("53300"); i++) {
+                answer = c.ask(op("page")).answer();
+            }
+            return answer;
+        }
+
+        /** From now on every server answers reads by itself, whichever the module picks. */
+        Net readable() {
+            servers.values().forEach(s -> s.reads = true);
+            return this;
+        }
+
+        Client client() throws IOException {
+            Client c = new Client(gateway.port());
+            open.add(c);
+            return c.greeted();
+        }
+
+        @Override
+        public void close() throws Exception {
+            for (AutoCloseable o : open) {
+                o.close();
+            }
+            vertx.close().toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+            for (Server s : servers.values()) {
+                s.close();
+            }
+            registry.close();
+        }
+    }
+
+    /** Listens at a free port and hands each connection to a thread of its own. */
+    abstract static class Stand {
+        private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
+
+        Stand() throws IOException {
+            Thread t = new Thread(() -> {
+                while (!listener.isClosed()) {
+                    try {
+                        Socket s = listener.accept();
+                        sockets.add(s);
+                        Thread own = new Thread(() -> {
+                            try {
+                                serve(s);
+                            } catch (IOException e) {
+                                ended(s);
+                            }
+                        });
+                        own.setDaemon(true);
+                        own.start();
+                    } catch (IOException e) {
+                        return;
+                    }
+                }
+            });
+            t.setDaemon(true);
+            t.start();
+        }
+
+        abstract void serve(Socket s) throws IOException;
+
+        void ended(Socket s) {}
+
+        int port() {
+            return listener.getLocalPort();
+        }
+
+        void close() throws IOException {
+            listener.close();
+            for (Socket s : List.copyOf(sockets)) {
+                s.close();
+            }
+        }
+    }
+
+    /** A database server: answers probes by itself, and hands each op's query to the story. */
+    static final class Server extends Stand {
+        final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> connects = new LinkedBlockingQueue<>();
+        private final boolean primary;
+        volatile boolean mute; // takes connections, says nothing
+        volatile boolean shut; // takes connections, closes them at once
+        volatile boolean reads; // answers reads by itself
+        volatile boolean writes; // and writes
+        volatile byte[] value = {7}; // with this
+
+        Server(boolean primary) throws IOException {
+            this.primary = primary;
+        }
+
+        @Override
+        void serve(Socket s) throws IOException {
+            connects.add("one");
+            if (shut) {
+                s.close();
+                return;
+            }
+            DataInputStream in = new DataInputStream(s.getInputStream());
+            in.readFully(new byte[in.readInt() - 4]);
+            CountDownLatch ended = new CountDownLatch(1);
+            try {
+                if (!mute) {
+                    write(s, Buffer.buffer().appendByte((byte) 'R').appendInt(8).appendInt(0), true);
+                }
+                while (true) {
+                    in.readByte();
+                    byte[] body = new byte[in.readInt() - 4];
+                    in.readFully(body);
+                    Got g = new Got(this, s, new String(body, 0, Math.max(0, body.length - 1), UTF_8), ended);
+                    if (mute) {
+                        continue;
+                    }
+                    if (g.text.startsWith("SHOW")) {
+                        g.row(report().getBytes(UTF_8));
+                    } else if (g.text.startsWith("SELECT") ? reads : writes) {
+                        g.row(value);
+                    } else {
+                        got.add(g);
+                    }
+                }
+            } finally {
+                ended.countDown();
+            }
+        }
+
+        private String report() {
+            return "x0=" + System.currentTimeMillis() / 1000 + ",x1=" + (primary ? 1 : 0) + ",busy=0.1";
+        }
+
+        /** The next query of an op. */
+        Got next() throws InterruptedException {
+            Got g = got.poll(Net.PATIENCE_S, TimeUnit.SECONDS);
+            assertThat(g).as("a query comes").isNotNull();
+            return g;
+        }
+
+        static void write(Socket s, Buffer b, boolean ready) throws IOException {
+            if (ready) {
+                b.appendByte((byte) 'Z').appendInt(5).appendByte((byte) 'I');
+            }
+            s.getOutputStream().write(b.getBytes());
+        }
+    }
+
+    /** A query that a database server got. */
+    record Got(Server at, Socket socket, String text, CountDownLatch ended) {
+        void row(byte[] value) throws IOException {
+            Buffer b = Buffer.buffer();
+            told(b, "rank", at.primary ? "source" : "copy");
+            told(b, "as_of", Long.toString(System.currentTimeMillis()));
+            told(b, "vitals", at.report());
+            b.appendBuffer(PgCodec.acked(new PgCodec.Row(
+                    new PgCodec.Column("val", 0, (short) 0, 17, (short) -1, -1, (short) 1), value, "SELECT 1")));
+            Server.write(socket, b, false);
+        }
+
+        private static void told(Buffer b, String name, String value) {
+            b.appendByte((byte) 'S').appendInt(6 + name.length() + value.length()).appendString(name)
+                    .appendByte((byte) 0).appendString(value).appendByte((byte) 0);
+        }
+
+        void problem(String code) throws IOException {
+            Server.write(socket, PgCodec.problem(code, "no", null, false, true), false);
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits until the gateway has ended the connection. */
+        void endedByGateway() throws InterruptedException {
+            assertThat(ended.await(Net.PATIENCE_S, TimeUnit.SECONDS)).as("the connection ends").isTrue();
+        }
+    }
+
+    /** Discovery: the whole list, and each watch answered when the story says what changed. */
+    static final class Registry extends Stand {
+        final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+        volatile String whole;
+
+        Registry(String whole) throws IOException {
+            this.whole = whole;
+        }
+
+        @Override
+        void serve(Socket s) throws IOException {
+            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), UTF_8));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                if (!line.startsWith("GET ")) {
+                    continue;
+                }
+                String uri = line.split(" ")[1];
+                asked.add(uri);
+                String body;
+                try {
+                    body = uri.contains("?") ? news.take() : whole;
+                } catch (InterruptedException e) {
+                    return;
+                }
+                String status = body.startsWith("status ") ? body.substring(7) : "200 OK";
+                byte[] bytes = body.getBytes(UTF_8);
+                s.getOutputStream().write(("HTTP/1.1 " + status + "\r\nContent-Length: " + bytes.length + "\r\n\r\n")
+                        .getBytes(UTF_8));
+                s.getOutputStream().write(bytes);
+            }
+        }
+
+        /** Waits for a call, and skips those before it. */
+        void asked(String uri) throws InterruptedException {
+            for (String a = ""; !a.equals(uri); ) {
+                a = asked.poll(Net.PATIENCE_S, TimeUnit.SECONDS);
+                assertThat(a).as("discovery is asked for %s", uri).isNotNull();
+            }
+        }
+    }
+
+    /** A client's connection. */
+    static final class Client implements AutoCloseable {
+        private final Socket socket;
+        private final DataInputStream in;
+
+        Client(int port) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Net.PATIENCE_S));
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        Client greeted() throws IOException {
+            write(PgCodec.hello());
+            assertThat(answer()).isEqualTo("ready");
+            return this;
+        }
+
+        Client write(Buffer b) throws IOException {
+            socket.getOutputStream().write(b.getBytes());
+            return this;
+        }
+
+        Client ask(String text) throws IOException {
+            return write(PgCodecTest.query(text));
+        }
+
+        int readByte() throws IOException {
+            return in.read();
+        }
+
+        /** What came up to the next ReadyForQuery or the end: the value in hex, the code with its time, or a word. */
+        String answer() throws IOException {
+            StringBuilder all = new StringBuilder();
+            try {
+                for (int type = in.read(); type != 'Z'; type = in.read()) {
+                    if (type < 0) {
+                        return all + "closed";
+                    }
+                    byte[] body = new byte[in.readInt() - 4];
+                    in.readFully(body);
+                    String text = new String(body, UTF_8);
+                    if (type == 'D') {
+                        all.append("row ").append(HexFormat.of().formatHex(body, 6, body.length)).append(' ');
+                    } else if (type == 'I') {
+                        all.append("empty ");
+                    } else if (type == 'E') {
+                        int d = text.indexOf("\0D");
+                        all.append(text, text.indexOf("\0C") + 2, text.indexOf("\0C") + 7).append(' ')
+                                .append(d < 0 ? "" : "after " + text.substring(d + 2, text.indexOf(0, d + 1)) + " ");
+                    }
+                }
+                in.readFully(new byte[5]);
+            } catch (SocketException e) {
+                return all + "closed";
+            }
+            return all.append("ready").toString();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -0,0 +1,356 @@
+package ploverdale;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import ploverdale.FakeHost.Client;
+import ploverdale.FakeHost.Got;
+import ploverdale.FakeHost.Net;
+import ploverdale.FakeHost.Server;
+
+/** Stories of a real gateway between stand-ins on loopback. */
+@Timeout(120)
+class GatewayTest {
+    private static final String ROW_7 = "row 07 ready";
+
+    private static Buffer bytes(char type, int length) {
+        return Buffer.buffer().appendByte((byte) type).appendInt(length);
+    }
+
+    @Test
+    void aValueIsPassedOnByteForByteAndTheWaitIsStatedToTheServer() throws Exception {
+        try (Net net = new Net("p").started()) {
+            byte[] value = new byte[64 * 1024];
+            for (int i = 0; i < value.length; i++) {
+                value[i] = (byte) i;
+            }
+            Client c = net.client().ask(net.op("order", 9000));
+            Got g = net.servers.get("p").next();
+            assertThat(g.text()).startsWith("INSERT INTO state (uid, val) VALUES ('k', '\\x01') RETURNING val /* id=1,");
+            String wait = g.text().replaceAll(".*,d=(\\d+),.*", "$1");
+            assertThat(Integer.parseInt(wait)).isBetween(1, 9000);
+            g.row(value);
+            assertThat(c.answer()).isEqualTo("row " + java.util.HexFormat.of().formatHex(value) + " ready");
+        }
+    }
+
+    @Test
+    void theFirstQueryMayComeRightBehindTheGreetingAndQueriesAreAnsweredInTheirOrder() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = new Client(net.gateway.port());
+            c.write(PgCodecTest.query("").appendBuffer(Buffer.buffer())); // ends: no greeting yet
+            assertThat(c.answer()).startsWith("08P01");
+            c = new Client(net.gateway.port());
+            c.write(ploverdale.net.PgCodec.hello().appendBuffer(PgCodecTest.query(net.op("order")))
+                    .appendBuffer(PgCodecTest.query(net.op("order"))).appendBuffer(PgCodecTest.query(" ;")));
+            assertThat(c.answer()).isEqualTo("ready");
+            Got one = net.servers.get("p").next();
+            Got other = net.servers.get("p").next();
+            boolean first = one.text().contains("id=1,");
+            (first ? other : one).row(new byte[] {7});
+            (first ? one : other).row(new byte[] {1});
+            assertThat(c.answer()).as(net::log).isEqualTo("row 01 ready");
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            assertThat(c.answer()).isEqualTo("empty ready");
+        }
+    }
+
+    @Test
+    void aReadWithNobodyToAnswerItIsBusyRepliedWithATimeToComeBack() throws Exception {
+        try (Net net = new Net("p")) {
+            net.servers.get("p").close();
+            net.started().logged("server p silent");
+            assertThat(net.client().ask(net.op("quick", 900)).answer()).matches("53300 after \\d+ ready");
+        }
+    }
+
+    @Test
+    void aWriteTurnedAwayByAReplicaGoesToThePrimary() throws Exception {
+        try (Net net = new Net("r1", "p").started()) {
+            net.logged("primary p");
+            Client c = net.client().ask(net.op("order"));
+            net.servers.get("p").next().problem("25006");
+            assertThat(net.servers.get("p").next().text()).contains("id=1,");
+            assertThat(net.servers.get("r1").got).isEmpty();
+            c.close();
+        }
+    }
+
+    @Test
+    void aNonRetryableOpWhoseConnectionBreaksAfterTheLastByteIsWrittenOnceAndErrored() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client().ask(net.op("order"));
+            net.servers.get("p").next().reset();
+            assertThat(c.answer()).isEqualTo("58000 ready");
+            c.ask(net.op("order"));
+            Got second = net.servers.get("p").next();
+            assertThat(second.text()).contains("id=2,");
+            second.row(new byte[] {2});
+            assertThat(c.answer()).isEqualTo("row 02 ready");
+            assertThat(net.servers.get("p").got).isEmpty();
+        }
+    }
+
+    @Test
+    void aNonRetryableOpWhoseConnectionNeverComesUpHasNotRunAndGoesAgain() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Server p = net.servers.get("p");
+            Client first = net.client().ask(net.op("order"));
+            Got out = p.next(); // keeps the connection that the probe opened
+            p.shut = true;
+            p.connects.clear();
+            Client c = net.client().ask(net.op("order"));
+            assertThat(p.connects.poll(Net.PATIENCE_S, TimeUnit.SECONDS)).isNotNull();
+            p.shut = false;
+            out.row(new byte[] {1});
+            assertThat(first.answer()).isEqualTo("row 01 ready");
+            Got again = p.next();
+            assertThat(again.text()).contains("id=2,");
+            again.row(new byte[] {2});
+            assertThat(c.answer()).isEqualTo("row 02 ready");
+            assertThat(p.got).isEmpty();
+        }
+    }
+
+    @Test
+    void givingUpClosesTheConnectionAndALateAnswerReachesNoOtherOp() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client().ask(net.op("quick", 700));
+            Got late = net.servers.get("p").next();
+            assertThat(c.answer()).startsWith("53300");
+            late.endedByGateway();
+            try {
+                late.row("late".getBytes(UTF_8));
+            } catch (java.io.IOException e) {
+                assertThat(late.socket().isClosed() || e.getMessage() != null).isTrue();
+            }
+            c.ask(net.op("page"));
+            net.servers.get("p").next().row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+        }
+    }
+
+    @Test
+    void anAnswerThatNobodyAskedForEndsTheConnectionAndReachesNoOp() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client().ask(net.op("page"));
+            Got g = net.servers.get("p").next();
+            g.row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            g.row("unasked".getBytes(UTF_8));
+            g.endedByGateway();
+            c.ask(net.op("page"));
+            net.servers.get("p").next().row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            net.logged("server out of order");
+        }
+    }
+
+    @Test
+    void anAnswerCutShortOrOversizedMayHaveRun() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client();
+            for (Buffer b : List.of(bytes('T', 9).appendShort((short) 1), bytes('D', 1 << 30), bytes('?', 4), bytes('E', 3))) {
+                c.ask(net.op("order"));
+                Got g = net.servers.get("p").next();
+                Server.write(g.socket(), b, false);
+                if (b.getByte(0) == 'T') {
+                    g.socket().close();
+                }
+                assertThat(c.answer()).isEqualTo("58000 ready");
+                g.endedByGateway();
+            }
+        }
+    }
+
+    @Test
+    void theSendOfAClientThatHasGoneIsGivenUp() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client().ask(net.op("page"));
+            Got g = net.servers.get("p").next();
+            c.close();
+            g.endedByGateway();
+        }
+    }
+
+    @Test
+    void aServerThatAWatchSaysIsDrainingGetsNothingNew() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").started()) {
+            net.readable().registry.asked("/registry/instances?from=1&hold_ms=5000");
+            net.registry.news.add(net.list(2, false, "r1:DRAINING"));
+            net.logged("server r1 listed DRAINING");
+            Server r1 = net.servers.get("r1");
+            r1.reads = false;
+            Client c = net.client();
+            for (int i = 0; i < 30; i++) {
+                assertThat(net.read(c)).isEqualTo(ROW_7);
+            }
+            assertThat(r1.got).isEmpty();
+            net.registry.asked("/registry/instances?from=2&hold_ms=5000");
+        }
+    }
+
+    @Test
+    void discoveryThatTalksNonsenseOrGoesBackIsAskedAgainAndChangesNothing() throws Exception {
+        try (Net net = new Net("p").started()) {
+            net.registry.asked("/registry/instances?from=1&hold_ms=5000");
+            net.registry.news.add("{\"revision\":");
+            net.logged("discovery lost: list is not JSON");
+            net.registry.news.add("status 500 Oops");
+            net.registry.news.add("{\"complete\":true}");
+            net.registry.news.add(net.list(9, false, "p:SERVING"));
+            net.registry.asked("/registry/instances?from=9&hold_ms=5000");
+            net.logged("discovery back after");
+            net.registry.news.add(net.list(4, false));
+            net.logged("discovery went back from revision 9 to 4");
+            net.registry.asked("/registry/instances");
+            Client c = net.client().ask(net.op("page"));
+            net.servers.get("p").next().row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+        }
+    }
+
+    @Test
+    void aServerThatAcceptsAndStaysSilentHoldsNothingUp() throws Exception {
+        try (Net net = new Net("p", "r1", "r2")) {
+            net.servers.get("r1").mute = true;
+            net.readable().started();
+            Client c = net.client();
+            for (int i = 0; i < 5; i++) {
+                assertThat(net.read(c)).isEqualTo(ROW_7);
+            }
+            net.logged("server r1 silent: probes unanswered");
+        }
+    }
+
+    @Test
+    void idleConnectionsAreClosedBeforeTheServerWould() throws Exception {
+        try (Net net = new Net("p").started(256, 4000)) {
+            Client c = net.client().ask(net.op("page"));
+            Got g = net.servers.get("p").next();
+            g.row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            long answered = System.nanoTime();
+            g.endedByGateway();
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answered)).isBetween(1000L, 4000L);
+        }
+    }
+
+    @Test
+    void overTheDescriptorBudgetClientsAreTurnedAwayAndThoseTakenAreAnswered() throws Exception {
+        try (Net net = new Net("p").started(64, 30_000)) {
+            Server p = net.servers.get("p");
+            List<Client> taken = new ArrayList<>();
+            List<Got> out = new ArrayList<>();
+            boolean away = false;
+            for (int i = 0; i < 64 && !away; i++) {
+                Client c = new Client(net.gateway.port());
+                c.write(ploverdale.net.PgCodec.hello());
+                String greeting = c.answer();
+                away = greeting.equals("53300 closed");
+                if (!away) {
+                    assertThat(greeting).isEqualTo("ready");
+                    taken.add(c.ask(net.op("order")));
+                    Got g = p.got.poll(2, TimeUnit.SECONDS); // read by the gateway, so no longer idle there
+                    if (g != null) {
+                        out.add(g);
+                    }
+                }
+            }
+            assertThat(away).isTrue();
+            assertThat(taken).hasSizeBetween(16, 48);
+            p.writes = true;
+            for (Got g : out) {
+                g.row(new byte[] {7});
+            }
+            for (Client c : taken) {
+                assertThat(c.answer()).isIn(ROW_7, "53300 ready", "53300 after 1000 ready");
+            }
+            assertThat(net.client().ask(net.op("order")).answer()).isEqualTo(ROW_7);
+            net.logged("no room for a connection");
+        }
+    }
+
+    @Test
+    void aPlannedRestartServesOnAnswersAllAndEnds() throws Exception {
+        try (Net net = new Net("p", "r1").started().readable()) {
+            Client idle = net.client();
+            Client held = net.client().ask(net.op("order"));
+            Got g = net.servers.get("p").next();
+            CountDownLatch ended = new CountDownLatch(1);
+            net.gateway.runOnLoop(() -> net.gateway.endPlanned(ended));
+            net.logged("planned restart: 2 connections, 1 ops in hand");
+            assertThat(net.read(net.client())).isEqualTo(ROW_7);
+            assertThat(idle.answer()).isEqualTo("closed");
+            assertThat(ended.getCount()).isEqualTo(1);
+            g.row(new byte[] {3});
+            assertThat(held.answer()).isEqualTo("row 03 ready");
+            assertThat(held.answer()).isEqualTo("closed");
+            assertThat(ended.await(Net.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+            net.logged("0 ops unanswered");
+        }
+    }
+
+    @Test
+    void badInputIsAnsweredWhereItCanBeAndEndsNoOtherConnection() throws Exception {
+        try (Net net = new Net("p", "r1").started().readable()) {
+            Client good = net.client();
+            Client c = new Client(net.gateway.port());
+            c.write(Buffer.buffer().appendInt(8).appendInt(80877103));
+            assertThat(c.readByte()).isEqualTo('N');
+            c.write(Buffer.buffer().appendInt(8).appendInt(80877104));
+            assertThat(c.readByte()).isEqualTo('N');
+            c.greeted();
+            for (String text : List.of("SELECT 1", "SELECT 1 /* id=a,c=nothing,t=north,d=5 */",
+                    "SELECT 1 /* id=a,c=page,t=nobody,d=5 */", "SELECT 1 /* id=a,c=page,t=north,d=-1 */")) {
+                assertThat(c.ask(text).answer()).matches("(42601|22023) ready");
+            }
+            c.write(bytes('P', 8).appendInt(0).appendBuffer(bytes('B', 4)).appendBuffer(bytes('S', 4)));
+            assertThat(c.answer()).isEqualTo("0A000 ready");
+            String op = net.op("order");
+            c.ask(op);
+            Got g = net.servers.get("p").next();
+            assertThat(good.ask(op).answer()).isEqualTo("42710 ready");
+            g.row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            for (Buffer b : List.of(bytes('?', 4), bytes('Q', 3), bytes('Q', 1 << 30))) {
+                assertThat(net.client().write(b).answer()).isEqualTo("08P01 closed");
+            }
+            assertThat(new Client(net.gateway.port()).write(Buffer.buffer().appendInt(8).appendInt(2 << 16)).answer())
+                    .isEqualTo("0A000 closed");
+            assertThat(new Client(net.gateway.port()).write(Buffer.buffer().appendInt(16).appendInt(80877102).appendLong(0))
+                    .answer()).isEqualTo("closed");
+            assertThat(net.read(good)).isEqualTo(ROW_7);
+        }
+    }
+
+    @Test
+    void aClientThatDoesNotReadIsHeldBackAndClosedAndHarmsNoOther() throws Exception {
+        try (Net net = new Net("p", "r1").started()) {
+            net.readable().servers.values().forEach(s -> s.value = new byte[60_000]);
+            Client deaf = net.client();
+            Thread asks = new Thread(() -> {
+                try {
+                    for (int i = 0; i < 1000; i++) {
+                        deaf.ask(net.op("page")); // more than all buffers on the way can take
+                    }
+                } catch (java.io.IOException e) {
+                    return; // closed, as it should be
+                }
+            });
+            asks.start();
+            net.logged("client that does not read");
+            asks.join(TimeUnit.SECONDS.toMillis(Net.PATIENCE_S));
+            assertThat(asks.isAlive()).isFalse();
+            net.servers.values().forEach(s -> s.value = new byte[] {7});
+            assertThat(net.read(net.client())).isEqualTo(ROW_7);
+        }
+    }
+}
