Where no server was heard yet, those that missed a first probe are asked again soon

Seen: a new user's try on a clean clone. The toy servers had just started, all three first probes took over 250 ms, and the gateway busy-replied everything for 8 s. Checked: gateway log (three "probes unanswered 1" within a millisecond, "group 0 primary" 1.5 s later), toy servers asked again by hand answered at once. Excluded: the gateway's own start (its warm-up had run). Wrong: Logic.silent and Logic.probeEnded took a server never heard for one that never was, also where that is true of all of them. It also guards against a start of all servers at once; it can do harm where a gateway is cut off from all: it asks each again after 0.3, 0.6, ... 2 s instead of 8 s.

The build also failed once on a rehearsal with 58 of 60 ops acked: its client came back at once five times and gave up.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -529,8 +529,7 @@
                 returns(m, false, "answers probes");
             }
         } else if (m.silent) {
-            boolean never = m.heardAt == Telling.UNTOLD;
-            m.penalty = never ? PENALTY_MOST : Math.min(PENALTY_MOST / 4, m.penalty * 2);
+            m.penalty = neverThere(m) ? PENALTY_MOST : Math.min(PENALTY_MOST / 4, m.penalty * 2);
             m.retryAt = now + m.penalty;
         } else if (now - m.answeredAt > SILENCE_LEAST
                 && (++m.deadSigns >= DEAD_SIGNS || m.heardAt == Telling.UNTOLD)) {
@@ -685,12 +684,10 @@
         p.usual += (p.recent < p.usual || p.samples < 20 ? 0.1 : slow) * (p.recent - p.usual);
         p.at = now;
 
-        double stretch = Math.min(STRETCH_MOST, took / p.usual);
-        m.stretch = stretchNow(m) + NEWEST * (stretch - stretchNow(m));
+        m.stretch = stretchNow(m) + NEWEST * (Math.min(STRETCH_MOST, took / p.usual) - stretchNow(m));
         m.stretchAt = now;
 
-        double part = load / (double) Math.max(1, op.targetAt - op.arrivedAt);
-        m.pressure += NEWEST * (Math.min(3, part) - m.pressure);
+        m.pressure += NEWEST * (Math.min(3, load / Math.max(1.0, op.targetAt - op.arrivedAt)) - m.pressure);
         if (m.pressure > PRESSURE_WANTED) {
             m.limit = Math.max(leastLimit, m.limit - LIMIT_STEP);
         } else if (m.out.size() + 1 >= m.limit * 0.7 && now - m.connectFailedAt > HEARD_LASTS) {
@@ -713,12 +710,17 @@
         }
     }
 
+    /** Not so where nobody was heard: guards against a slow start, of this gateway or of all servers. */
+    private boolean neverThere(Member m) {
+        return m.heardAt == Telling.UNTOLD && members.values().stream().anyMatch(Member::isPromising);
+    }
+
     private void silent(Member m, String why) {
         if (!m.silent) {
             log("server " + m.id.text() + " silent: " + why);
             m.silent = true;
             m.silentSince = now;
-            m.penalty = m.heardAt == Telling.UNTOLD ? PENALTY_MOST
+            m.penalty = neverThere(m) ? PENALTY_MOST
                     : now - m.returnedAt < BRIEF ? Math.min(PENALTY_MOST, m.penalty * 2) : PENALTY_FIRST;
             m.retryAt = now + m.penalty;
             m.out.values().stream().filter(o -> o.type.repeats() == Repeats.RETRYABLE).forEach(this::callOff);
--- a/src/main/java/ploverdale/toy/Rehearsal.java
+++ b/src/main/java/ploverdale/toy/Rehearsal.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import ploverdale.log.Log;
 import ploverdale.net.Gateway;
 import ploverdale.net.GatewayFile;
@@ -15,7 +16,8 @@
  */
 public final class Rehearsal {
     private static final int OPS = 60;
-    private static final int AGAIN_MOST = 5;
+    private static final int AGAIN_MOST = 100;
+    private static final long AGAIN_MS = 50; // as a client that is told to come back
 
     private Rehearsal() {}
 
@@ -27,13 +29,13 @@
             return Gateway.start(vertx, log, new GatewayFile(file.name(), here, toy.discovery(), file.seed(),
                     file.sockets(), file.terms(), known));
         }).compose(g -> ToyClient.connect(vertx, new InetSocketAddress(here.getAddress(), g.port())))
-                .compose(c -> c.ask("").compose(x -> c.ask("SELECT nothing")).compose(x -> ops(c, file, 0, 0, 0))
+                .compose(c -> c.ask("").compose(x -> c.ask("SELECT nothing")).compose(x -> ops(vertx, c, file, 0, 0, 0))
                         .compose(acked -> c.close().map(acked)))
                 .compose(acked -> acked == OPS ? Future.succeededFuture(acked + " of " + OPS + " ops acked")
                         : Future.failedFuture("only " + acked + " of " + OPS + " ops acked"));
     }
 
-    private static Future<Integer> ops(ToyClient c, GatewayFile file, int i, int acked, int again) {
+    private static Future<Integer> ops(Vertx vertx, ToyClient c, GatewayFile file, int i, int acked, int again) {
         if (i == OPS) {
             return Future.succeededFuture(acked);
         }
@@ -49,8 +51,9 @@
                 : "SELECT val FROM state WHERE uid = 'k" + i % 7 + "'" + comment)
                 .compose(answer -> {
                     boolean busy = answer.contains("53300") && again < AGAIN_MOST; // as at the very start
-                    return busy ? ops(c, file, i, acked, again + 1)
-                            : ops(c, file, i + 1, acked + (answer.startsWith("row ") ? 1 : 0), 0);
+                    return busy ? vertx.timer(AGAIN_MS, TimeUnit.MILLISECONDS)
+                            .compose(x -> ops(vertx, c, file, i, acked, again + 1))
+                            : ops(vertx, c, file, i + 1, acked + (answer.startsWith("row ") ? 1 : 0), 0);
                 });
     }
 }
--- a/src/main/java/ploverdale/toy/ToyServers.java
+++ b/src/main/java/ploverdale/toy/ToyServers.java
@@ -45,7 +45,17 @@
             boolean primary = hasPrimary.put(e.listing().group().number(), true) == null;
             all = all.compose(x -> toy.server(e, primary, anyPorts));
         }
-        return all.compose(x -> toy.list(file.discovery(), anyPorts)).map(toy);
+        return all.compose(x -> toy.list(file.discovery(), anyPorts)).compose(x -> toy.warmUp()).map(toy);
+    }
+
+    /** Asks each server once, so that the first probe of a gateway does not wait for this program's classes. */
+    private Future<?> warmUp() {
+        Future<?> all = Future.succeededFuture();
+        for (GatewayFile.Entry e : entries) {
+            all = all.compose(x -> ToyClient.connect(vertx, e.address()))
+                    .compose(c -> c.ask("SHOW vitals").compose(x -> c.close()));
+        }
+        return all;
     }
 
     public List<GatewayFile.Entry> entries() {
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -54,6 +54,23 @@
         assertThat(host.sends(read)).containsExactly("r1");
     }
 
+    @Test
+    void whereNobodyAnswersTheFirstProbesAllAreAskedAgainSoonAndAGhostAmongLiveServersIsNot() {
+        FakeHost fresh = new FakeHost();
+        fresh.list(true, "p", "r1");
+        fresh.unanswered("p");
+        fresh.unanswered("r1");
+        OpId write = fresh.ask(FakeHost.SUBMIT);
+        fresh.pass(1000);
+        assertThat(fresh.probes("p") + fresh.probes("r1")).isGreaterThan(2);
+        fresh.probed("p", Role.PRIMARY, fresh.nowMs);
+        assertThat(fresh.sends(write)).containsExactly("p");
+        fresh.list(false, "ghost");
+        fresh.unanswered("ghost");
+        fresh.pass(7000);
+        assertThat(fresh.probes("ghost")).isEqualTo(1);
+    }
+
     @Test
     void aServerThatIsListedButNeverHeardGetsNoOp() {
         host.list(false, "ghost");
