Survive a burst of unfinished messages: drop the longest, free ended sessions, log for libraries

Seen: 1,100 connections on loopback, each with a query of 130 kB begun and not ended. First the process ended for want of heap; then it lived, but took no new connection. Checked: the log (one "closed with 120005 bytes,  held", then the heap), the bound was kept by its own count; the acceptor thread's end stands in the log with "tzdb.dat (Too many open files)". Wrong: ClientSide's greeting timer referred to each ended session for five seconds, with its bytes; over the bound only the session just read was held back, the others read on; libraries' warnings went through the JDK's own handler, which opens a file to write a date, fails without descriptors, and took the accepting thread with it. Now: ended sessions let go of their bytes and timer; over 16 MB the longest unfinished messages lose their connections; libraries log through our logger.

--- a/src/main/java/ploverdale/Main.java
+++ b/src/main/java/ploverdale/Main.java
@@ -89,6 +89,7 @@
         @Override
         public int run() throws IOException, InterruptedException {
             Log log = new Log(System.err);
+            log.takeOver();
             GatewayFile file = file();
             Vertx vertx = Gateway.vertx();
             Gateway gateway;
--- a/src/main/java/ploverdale/log/Log.java
+++ b/src/main/java/ploverdale/log/Log.java
@@ -5,6 +5,11 @@
 import java.time.temporal.ChronoUnit;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 
 /**
  * The program's log: one line an event on standard error, time first. What may come often is told under a kind,
@@ -53,6 +58,32 @@
         often(kind, text.toString());
     }
 
+    /**
+     * Takes over what libraries log through the JDK, from warnings up. Guards against their own handler, which opens files
+     * to write a date and so fails, with the thread that logs, when descriptors run out.
+     */
+    public void takeOver() {
+        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord r) {
+                Throwable e = r.getThrown();
+                while (e != null && e.getCause() != null) {
+                    e = e.getCause();
+                }
+                often("library " + r.getLoggerName(), r.getMessage() + (e == null ? "" : ": " + e));
+            }
+
+            @Override
+            public void flush() {}
+
+            @Override
+            public void close() {}
+        });
+    }
+
     private static String oneLine(String text) {
         return text.replaceAll("\\p{Cntrl}", "?");
     }
--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -31,8 +31,7 @@
 public final class ClientSide {
     private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
     private static final long GREETING_MS = 5000; // for a first message to be whole
-    private static final long MESSAGE_MS = 5000; // for any other, where there is much to hold
-    private static final long LOAD_MOST = 16 * 1024 * 1024; // beyond, no more is read until some is answered
+    private static final long LOAD_MOST = 16 * 1024 * 1024; // see makeLighter
     private static final long UNREAD_MS = 5000; // for a client to read on, before it is closed
 
     /** An op in hand. */
@@ -74,6 +73,7 @@
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Set<Session> idle = new LinkedHashSet<>(); // longest first
     private final List<Session> early = new ArrayList<>(); // asked before the module was told what it needs
+    private final Set<Session> unfinished = new LinkedHashSet<>(); // with part of a message, longest first
     private final Set<Session> heldBack = new LinkedHashSet<>(); // until the load is less
     private long load; // bytes of ops in hand, of messages not yet whole and of answers not yet read
     private boolean ready;
@@ -148,6 +148,18 @@
         answer(op, PgCodec.problem("58000", "the op failed; whether it ran is not known", null, false, true));
     }
 
+    /**
+     * Guards against what clients make a gateway hold: over the bound, those whose message has been unfinished longest
+     * lose their connections (no op of theirs was taken), and if that is not enough, no more is read for now.
+     */
+    private void makeLighter() {
+        while (load >= LOAD_MOST && !unfinished.isEmpty()) {
+            Session s = unfinished.iterator().next();
+            log.often("client with an unfinished message", "closed with " + s.partial + " bytes, " + load + " held in all");
+            s.close();
+        }
+    }
+
     private void lighter(long by) {
         load -= by;
         if (load < LOAD_MOST && !heldBack.isEmpty()) {
@@ -171,6 +183,7 @@
         private final NetSocket socket;
         private final PgCodec.ClientStream stream = new PgCodec.ClientStream();
         private final Deque<Slot> slots = new ArrayDeque<>();
+        private final long greetingTimer;
         private boolean closed;
         private boolean deaf;
         private boolean paused;
@@ -185,7 +198,7 @@
             socket.handler(this::bytes);
             socket.closeHandler(x -> gone());
             socket.exceptionHandler(e -> log.often("client connection", String.valueOf(e.getMessage())));
-            vertx.setTimer(GREETING_MS, x -> {
+            greetingTimer = vertx.setTimer(GREETING_MS, x -> {
                 if (!stream.greeted() && !closed) {
                     log.often("client without a greeting", "closed after " + GREETING_MS + " ms");
                     close();
@@ -217,6 +230,12 @@
             if (!closed) {
                 load += stream.held() - partial;
                 partial = stream.held();
+                if (partial == 0) {
+                    unfinished.remove(this);
+                } else {
+                    unfinished.add(this);
+                }
+                makeLighter();
                 flow();
             }
         }
@@ -235,6 +254,7 @@
             } else if (m instanceof PgCodec.OpAsk ask && !skipping) {
                 op(ask);
             } else if (m instanceof PgCodec.Hello) {
+                vertx.cancelTimer(greetingTimer);
                 put(PgCodec.welcome());
             } else if (m instanceof PgCodec.WantsCover) {
                 put(Buffer.buffer("N"));
@@ -340,8 +360,13 @@
 
         /** Guards against clients that write more than they read: they are held back. */
         private void flow() {
+            if (closed) {
+                return;
+            }
             boolean hold = slots.size() >= AHEAD_MOST || unread || first != null || load >= LOAD_MOST;
-            waitForLess(hold && load >= LOAD_MOST);
+            if (load >= LOAD_MOST) {
+                heldBack.add(this);
+            }
             if (hold != paused) {
                 paused = hold;
                 if (hold) {
@@ -353,18 +378,6 @@
         }
 
         /** Guards against many messages that are begun and never end: over the bound they end with their connection. */
-        private void waitForLess(boolean byLoad) {
-            if (!byLoad || !heldBack.add(this)) {
-                return;
-            }
-            vertx.setTimer(MESSAGE_MS, x -> {
-                if (heldBack.contains(this) && partial > 0 && slots.isEmpty()) {
-                    log.often("client held back", "closed with " + partial + " bytes of a message, " + load + " held");
-                    close();
-                }
-            });
-        }
-
         private void close() {
             gone();
             socket.close();
@@ -375,10 +388,13 @@
                 return;
             }
             closed = true;
+            stream.clear(); // and the timer: what refers to an ended session must not keep its bytes
+            vertx.cancelTimer(greetingTimer);
             lighter(partial + unreadBytes);
             partial = 0;
             unreadBytes = 0;
             heldBack.remove(this);
+            unfinished.remove(this);
             early.remove(this);
             sessions.remove(this);
             idle.remove(this);
--- a/src/main/java/ploverdale/net/PgCodec.java
+++ b/src/main/java/ploverdale/net/PgCodec.java
@@ -64,6 +64,11 @@
             return greeted;
         }
 
+        /** Lets go of what was not cut. */
+        public void clear() {
+            frames.drop(frames.size());
+        }
+
         /** Bytes come and not yet cut. */
         public int held() {
             return frames.size();
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -353,4 +353,15 @@
             assertThat(net.read(net.client())).isEqualTo(ROW_7);
         }
     }
+
+    @Test
+    void messagesThatAreBegunAndNotEndedCostTheirClientsTheConnectionsAndOthersAreServed() throws Exception {
+        try (Net net = new Net("p", "r1").started().readable()) {
+            for (int i = 0; i < 140; i++) {
+                net.client().write(bytes('Q', 130_000).appendBytes(new byte[125_000]));
+            }
+            net.logged("client with an unfinished message");
+            assertThat(net.read(net.client())).isEqualTo(ROW_7);
+        }
+    }
 }
