--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -232,7 +232,7 @@
 
     private long holdUntil(Op op) {
         long end = Math.min(worthUntil(op), op.repeatUntil);
-        long half = op.mayHaveRun ? end : (op.arrivedAt + op.asked.timeoutAt()) / 2 - MARGIN; // guards: vain waits
+        long half = op.mayHaveRun ? end : (op.arrivedAt + op.asked.timeoutAt()) / 2 - MARGIN; // no vain waits
         long hopeless = op.type.lateShare() > 0 ? 0 : (long) (FEW_TAKE * op.pace.usual);
         return Math.min(Math.min(end, half), Math.max(end - hopeless, op.arrivedAt + 2 * PATIENCE)) - BEAT;
     }
