Spoilt answers are errored, and a connection with surplus bytes carries no other op

Also: what follows a spoilt message is not used (lost() took a refusal before noise as proof that nothing ran), and a spoilt answer is errored, not broken off: the server has been heard, and its limit may go on growing.

--- a/src/main/java/ploverdale/net/PgCodec.java
+++ b/src/main/java/ploverdale/net/PgCodec.java
@@ -399,6 +399,11 @@
             frames.feed(more);
         }
 
+        /** Bytes come and not yet cut. */
+        public int held() {
+            return frames.size();
+        }
+
         /** The next message, or null until more bytes have come. */
         public FromServer next() {
             if (frames.size() < 5) {
@@ -432,7 +437,10 @@
                 case 'I' -> new Done("");
                 default -> new Garbled("a message of type " + (int) type);
             };
-            return body.cutShort ? new Garbled("a message of type " + type + " cut short") : m;
+            // Guards against values cut by a spoilt length: they look whole but for what is left behind them.
+            boolean left = !(m instanceof Aside) && body.at < body.bytes.length;
+            return body.cutShort || left
+                    ? new Garbled("a message of type " + type + (left ? " longer than its fields" : " cut short")) : m;
         }
 
         private static FromServer problem(Body body) {
--- a/src/main/java/ploverdale/net/ServerSide.java
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -217,6 +217,8 @@
         private final PgCodec.ServerStream stream = new PgCodec.ServerStream();
         private NetSocket socket;
         private boolean up;
+        private boolean ready; // but what has come with the answer is not looked through yet
+        private boolean rested;
         private boolean closed;
         private long openTimer;
         private long idleSince;
@@ -266,6 +268,14 @@
             for (PgCodec.FromServer m = closed ? null : stream.next(); m != null; m = closed ? null : stream.next()) {
                 message(m);
             }
+            if (ready && !closed) {
+                ready = false;
+                if (stream.held() > 0) {
+                    outOfOrder("noise behind an answer");
+                } else {
+                    free();
+                }
+            }
         }
 
         private void message(PgCodec.FromServer m) {
@@ -282,7 +292,7 @@
                 if (m instanceof PgCodec.Ready) {
                     vertx.cancelTimer(openTimer);
                     up = true;
-                    free();
+                    ready = true;
                 } else if (m instanceof PgCodec.Problem p) {
                     lost("refused with " + p.code());
                 } else if (!(m instanceof PgCodec.LetIn)) {
@@ -301,9 +311,8 @@
                 problem = p;
             } else if (m instanceof PgCodec.Ready r && (done != null || problem != null)) {
                 finish();
-                if (!closed && r.idle()) {
-                    free();
-                } else {
+                ready = r.idle();
+                if (!ready) {
                     close();
                 }
             } else {
@@ -311,13 +320,21 @@
             }
         }
 
+        /** Guards against spoilt answers: the server lives and may have run the op, but nothing it says here is used. */
         private void outOfOrder(String what) {
             log.often("server out of order", server.id.text() + ": " + what);
-            lost(what);
+            Sending x = sending;
+            if (x == null) {
+                lost(what);
+            } else {
+                close();
+                x.end(Ending.ERRORED, null, null, null);
+            }
         }
 
         private void write(Sending x) {
             sending = x;
+            rested = false;
             x.on = this;
             x.reach = Reach.IN_DOUBT;
             told.clear();
@@ -336,9 +353,19 @@
 
         /** Takes the next send that waits, its own opener first, or is idle. */
         private void free() {
-            sending = null;
             Sending next = opener.over || opener.on != null ? server.waiting.stream().findFirst().orElse(null) : opener;
-            if (next != null) {
+            if (next == opener) {
+                server.waiting.remove(next);
+                write(next);
+            } else if (next != null && !rested) {
+                // Guards against a surplus answer read after this one: it must come before the next op is written.
+                rested = true;
+                vertx.runOnContext(x -> {
+                    if (!closed) {
+                        free();
+                    }
+                });
+            } else if (next != null) {
                 server.waiting.remove(next);
                 write(next);
             } else if (!address.equals(server.address)) {
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -430,13 +430,21 @@
     /** A query that a database server got. */
     record Got(Server at, Socket socket, String text, CountDownLatch ended) {
         void row(byte[] value) throws IOException {
+            row(value, Buffer.buffer());
+        }
+
+        /** An answer with more right behind it. */
+        void row(byte[] value, Buffer behind) throws IOException {
+            Server.write(socket, answer(value).appendBuffer(behind), false);
+        }
+
+        Buffer answer(byte[] value) {
             Buffer b = Buffer.buffer();
             told(b, "rank", at.primary ? "source" : "copy");
             told(b, "as_of", Long.toString(System.currentTimeMillis()));
             told(b, "vitals", at.report());
-            b.appendBuffer(PgCodec.acked(new PgCodec.Row(
+            return b.appendBuffer(PgCodec.acked(new PgCodec.Row(
                     new PgCodec.Column("val", 0, (short) 0, 17, (short) -1, -1, (short) 1), value, "SELECT 1")));
-            Server.write(socket, b, false);
         }
 
         private static void told(Buffer b, String name, String value) {
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -153,6 +153,49 @@
         }
     }
 
+    @Test
+    void aSurplusAnswerReachesNoOpThatWaitsForTheConnection() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Server p = net.servers.get("p");
+            Client first = net.client().ask(net.op("order"));
+            Got g = p.next();
+            p.mute = true;
+            p.connects.clear();
+            Client second = net.client().ask(net.op("order"));
+            assertThat(p.connects.poll(Net.PATIENCE_S, TimeUnit.SECONDS)).isNotNull();
+            g.row(new byte[] {7}, g.answer(new byte[] {7})); // a second copy in the same breath
+            assertThat(first.answer()).isEqualTo(ROW_7);
+            g.endedByGateway();
+            p.mute = false;
+            Got own = p.next();
+            assertThat(own.text()).contains("id=2,");
+            own.row(new byte[] {9}, bytes('?', 1 << 30)); // noise that is no whole message
+            assertThat(second.answer()).as(net::log).isEqualTo("row 09 ready");
+            own.endedByGateway();
+        }
+    }
+
+    @Test
+    void aSpoiltAnswerIsNoneWhateverItBeginsWith() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client();
+            Buffer cut = Buffer.buffer().appendBuffer(ploverdale.net.PgCodec.acked(new ploverdale.net.PgCodec.Row(
+                    new ploverdale.net.PgCodec.Column("val", 0, (short) 0, 17, (short) -1, -1, (short) 1),
+                    new byte[] {1, 2, 3}, "SELECT 1")));
+            int value = 1 + cut.getInt(1) + 7;
+            cut.setInt(value, 2); // says that the value is shorter than its message
+            Buffer full = ploverdale.net.PgCodec.problem("53300", "full", null, false, false);
+            for (Buffer b : List.of(cut, full.copy().appendBuffer(bytes('?', 9)), full.copy().appendBuffer(cut))) {
+                c.ask(net.op("order"));
+                Got g = net.servers.get("p").next();
+                Server.write(g.socket(), b, false);
+                assertThat(c.answer()).isEqualTo("58000 ready"); // it may have run: neither acked nor sent again
+                g.endedByGateway();
+                assertThat(net.servers.get("p").got).isEmpty();
+            }
+        }
+    }
+
     @Test
     void anAnswerCutShortOrOversizedMayHaveRun() throws Exception {
         try (Net net = new Net("p").started()) {
