SIGHUP reads the configuration again and moves discovery, instead of ending the program

Seen: the log ends with the lines of a planned restart although no SIGTERM was sent; Main took no notice of SIGHUP, and the JVM by itself treats it as a SIGTERM. Now a signal reads EDGE_CONFIG again; what cannot be read changes nothing and is logged. Discovery ends the call under way and asks for the whole list at the new address; this also answers the open point that a new whole-list call waited for the watch in flight (pool of one connection). The descriptor budget follows the new file, too.

--- a/src/main/java/ploverdale/Main.java
+++ b/src/main/java/ploverdale/Main.java
@@ -21,6 +21,7 @@
 import ploverdale.toy.Rehearsal;
 import ploverdale.toy.ToyClient;
 import ploverdale.toy.ToyServers;
+import sun.misc.Signal;
 
 /** The command line. Exit codes: 0 done, 1 failed, 2 not understood. */
 public final class Main {
@@ -76,15 +77,19 @@
         @Option(name = "--config", metaVar = "FILE")
         private String config = System.getenv("EDGE_CONFIG");
 
-        GatewayFile file() {
+        Path path() {
             if (config == null || config.isEmpty()) {
                 throw new Unreadable("no configuration: neither --config nor EDGE_CONFIG names a file");
             }
-            return GatewayFile.read(Path.of(config));
+            return Path.of(config);
+        }
+
+        GatewayFile file() {
+            return GatewayFile.read(path());
         }
     }
 
-    /** One gateway, until SIGTERM. */
+    /** One gateway, until SIGTERM; at SIGHUP it reads its configuration again. */
     public static final class Serve extends WithFile {
         @Override
         public int run() throws IOException, InterruptedException {
@@ -98,6 +103,8 @@
             } catch (IOException e) {
                 throw new IOException("cannot listen at " + file.listen() + ": " + e.getMessage());
             }
+            // Guards against a SIGHUP that would end the program, which is what the JVM does by itself.
+            Signal.handle(new Signal("HUP"), x -> gateway.renew(path()));
             CountDownLatch ended = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 gateway.runOnLoop(() -> gateway.endPlanned(ended));
--- a/src/main/java/ploverdale/net/Discovery.java
+++ b/src/main/java/ploverdale/net/Discovery.java
@@ -1,5 +1,6 @@
 package ploverdale.net;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -18,8 +19,8 @@
 import ploverdale.terms.Unreadable;
 
 /**
- * Owns the talk with discovery: asks for the whole list at start and then watches it, one call after the other.
- * Must never judge a server, keep a list of its own, or call in a busy loop.
+ * Owns the talk with discovery: asks for the whole list at start and then watches it, one call after the other, at
+ * the address that the configuration names last. Must never judge a server, keep a list of its own, or call in a busy loop.
  */
 public final class Discovery {
     private static final String PATH = "/registry/instances";
@@ -32,9 +33,11 @@
     private final Vertx vertx;
     private final Log log;
     private final Terms terms;
-    private final InetSocketAddress at;
     private final Consumer<ServerList> told;
     private final HttpClient http;
+    private InetSocketAddress at;
+    private HttpClientRequest out; // the call under way, once it has a connection
+    private long askTimer = -1; // a call to come
     private long revision = -1; // below 0: the whole list is wanted
     private long call;
     private long again = AGAIN_FIRST_MS;
@@ -51,43 +54,58 @@
                 new PoolOptions().setHttp1MaxSize(1).setMaxWaitQueueSize(2));
     }
 
-    /** Asks for the whole list, and for its changes from then on. */
+    /** Asks for the whole list, and for its changes from then on; the call under way ends. */
     public void follow() {
         revision = -1;
         ask();
     }
 
+    /** The same, elsewhere from now on. */
+    public void follow(InetSocketAddress elsewhere) {
+        at = elsewhere;
+        again = AGAIN_FIRST_MS;
+        follow();
+    }
+
+    private void askIn(long ms) {
+        vertx.cancelTimer(askTimer);
+        askTimer = vertx.setTimer(ms, x -> ask());
+    }
+
     private void ask() {
         long mine = ++call;
+        vertx.cancelTimer(askTimer);
+        if (out != null) {
+            out.reset();
+            out = null;
+        }
         boolean whole = revision < 0;
         String uri = whole ? PATH : PATH + "?from=" + revision + "&hold_ms=" + HOLD_MS;
         RequestOptions what = new RequestOptions().setMethod(HttpMethod.GET).setURI(uri)
                 .setHost(at.getAddress().getHostAddress()).setPort(at.getPort());
-        HttpClientRequest[] request = new HttpClientRequest[1];
-        long timer = vertx.setTimer((whole ? 0 : HOLD_MS) + GRACE_MS, x -> {
-            failed(mine, "no answer");
-            if (request[0] != null) {
-                request[0].reset();
-            }
-        });
+        long timer = vertx.setTimer((whole ? 0 : HOLD_MS) + GRACE_MS, x -> failed(mine, "no answer"));
         http.request(what).compose(r -> {
-            request[0] = r;
+            if (mine != call) {
+                r.reset(); // a call made since then has taken its place
+                return Future.failedFuture("not wanted any more");
+            }
+            out = r;
             return r.send();
         }).onComplete(r -> {
             if (r.failed()) {
                 vertx.cancelTimer(timer);
                 failed(mine, String.valueOf(r.cause().getMessage()));
             } else {
-                collect(mine, timer, request[0], r.result());
+                collect(mine, timer, r.result());
             }
         });
     }
 
-    private void collect(long mine, long timer, HttpClientRequest request, HttpClientResponse answer) {
+    private void collect(long mine, long timer, HttpClientResponse answer) {
         Buffer body = Buffer.buffer();
         answer.handler(b -> {
             if (body.length() + b.length() > BODY_MOST) {
-                request.reset();
+                answer.request().reset();
             } else {
                 body.appendBuffer(b);
             }
@@ -110,6 +128,7 @@
         if (mine != call) {
             return;
         }
+        out = null;
         ServerList list;
         try {
             list = GatewayFile.serverList(Fields.of("list", GatewayFile.json(body, "list")), terms);
@@ -131,7 +150,7 @@
         if (older || !list.whole() && revision < 0) {
             log.line("discovery went back from revision " + revision + " to " + list.revision() + ": asks for all");
             revision = -1;
-            vertx.setTimer(AGAIN_FIRST_MS, x -> ask());
+            askIn(AGAIN_FIRST_MS);
             return;
         }
         if (list.whole() || !list.entries().isEmpty()) {
@@ -146,12 +165,16 @@
             return;
         }
         call++; // a late answer to this call is nobody's
+        if (out != null) {
+            out.reset();
+            out = null;
+        }
         if (!lost) {
             lost = true;
             lostAt = System.nanoTime() / 1_000_000;
             log.line("discovery lost: " + why);
         }
-        vertx.setTimer(again, x -> ask());
+        askIn(again);
         again = Math.min(AGAIN_MOST_MS, again * 2);
     }
 }
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -8,6 +8,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import ploverdale.log.Log;
@@ -21,7 +22,7 @@
 
 /**
  * Owns the parts of one gateway: starts them in order, passes each action of the module to the part that carries
- * it out and each outcome back, and ends them at a planned restart. Must never decide anything about an op or a
+ * it out and each outcome back, gives them a new configuration and ends them at a planned restart. Must never decide anything about an op or a
  * server, nor stop while an op taken in time has no answer.
  */
 public final class Gateway implements LogicLoop.Hands {
@@ -33,26 +34,30 @@
 
     private final Vertx vertx;
     private final Log log;
-    private final GatewayFile file;
+    private GatewayFile file;
     private final LogicLoop loop;
     private final ClientSide clients;
     private final ServerSide servers;
     private final Discovery discovery;
-    private final int room;
+    private int room;
     private NetServer server; // held, since one that nobody holds may be closed
 
     private Gateway(Vertx vertx, Context context, Log log, GatewayFile file) {
         this.vertx = vertx;
         this.log = log;
         this.file = file;
-        int spare = Math.max(16, file.sockets() / 8); // for the program's own files, discovery, crossing closes
-        room = file.sockets() - spare;
+        room = room(file);
         loop = new LogicLoop(vertx, context, log, this);
         clients = new ClientSide(vertx, log, loop, file.terms(), this::makeRoom);
         servers = new ServerSide(vertx, log, file.terms(), this::makeRoom);
         discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
     }
 
+    /** What connections may take; the rest is for the program's own files, discovery, crossing closes. */
+    private static int room(GatewayFile file) {
+        return file.sockets() - Math.max(16, file.sockets() / 8);
+    }
+
     /** One event loop for all; nothing looked up by name, no files kept. */
     public static Vertx vertx() {
         System.setProperty("vertx.disableDnsResolver", "true");
@@ -203,6 +208,31 @@
         });
     }
 
+    /**
+     * Reads the configuration again, under load. Discovery and the descriptors hold from now on; what the module and
+     * the listening socket were started with holds until a restart. One that cannot be read changes nothing.
+     */
+    public void renew(Path path) {
+        GatewayFile next;
+        try {
+            next = GatewayFile.read(path);
+        } catch (RuntimeException e) {
+            log.line("new configuration not taken, all goes on as before: " + e.getMessage());
+            return;
+        }
+        runOnLoop(() -> {
+            GatewayFile was = file;
+            file = next;
+            room = room(next);
+            boolean kept = next.listen().equals(was.listen())
+                    && next.terms().started().opTypes().equals(was.terms().started().opTypes());
+            log.line("new configuration: discovery at " + next.discovery().getAddress().getHostAddress() + ":"
+                    + next.discovery().getPort() + ", " + next.sockets() + " descriptors"
+                    + (kept ? "" : "; what else it says needs a restart"));
+            discovery.follow(next.discovery());
+        });
+    }
+
     public void runOnLoop(Runnable what) {
         loop.run(what);
     }
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -232,8 +232,9 @@
             return started(256, 30_000);
         }
 
-        Net started(int sockets, long idleMs) throws Exception {
-            String text = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + registry.port()
+        /** A configuration of the gateway, with discovery there. */
+        static String configuration(Registry registry, int sockets, long idleMs) {
+            return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + registry.port()
                     + "\",\"seed\":\"7\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + registry.whole + ","
                     + "\"settings\":{\"balancers\":1,\"accounts\":[{\"name\":\"north\",\"quotaPerS\":1000}],\"profiles\":["
                     + "{\"name\":\"page\",\"aimMs\":10000,\"deadlineMs\":20000,\"effect\":\"repeatable\",\"worth\":1},"
@@ -245,8 +246,11 @@
                     + "\"policyLimits\":{\"sendCap\":4,\"cancel\":true,\"probes\":true,\"retryAfter\":true,"
                     + "\"maxRetryAfterMs\":1000,\"connectTimeoutMs\":2000,\"idleCloseMs\":" + idleMs + "},\"contract\":{"
                     + "\"startCapacity\":0.3,\"coldMs\":10000,\"overloadFactor\":3,\"overloadForMs\":1000}}}";
+        }
+
+        Net started(int sockets, long idleMs) throws Exception {
             Path file = Files.createTempFile("gateway", ".json");
-            GatewayFile read = GatewayFile.read(Files.writeString(file, text));
+            GatewayFile read = GatewayFile.read(Files.writeString(file, configuration(registry, sockets, idleMs)));
             Files.delete(file);
             gateway = Gateway.start(vertx, new Log(new PrintStream(lines, true)), read).toCompletionStage()
                     .toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
@@ -314,7 +318,7 @@
     }
 
     /** Listens at a free port and hands each connection to a thread of its own. */
-    abstract static class Stand {
+    abstract static class Stand implements AutoCloseable {
         private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
 
@@ -350,7 +354,8 @@
             return listener.getLocalPort();
         }
 
-        void close() throws IOException {
+        @Override
+        public void close() throws IOException {
             listener.close();
             for (Socket s : List.copyOf(sockets)) {
                 s.close();
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -4,6 +4,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.buffer.Buffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -13,6 +15,7 @@
 import ploverdale.FakeHost.Client;
 import ploverdale.FakeHost.Got;
 import ploverdale.FakeHost.Net;
+import ploverdale.FakeHost.Registry;
 import ploverdale.FakeHost.Server;
 
 /** Stories of a real gateway between stand-ins on loopback. */
@@ -341,6 +344,61 @@
         }
     }
 
+    @Test
+    void aHangUpReadsTheConfigurationAgainAndABadOneChangesNothing() throws Exception {
+        Path file = Files.createTempFile("gateway", ".json");
+        Path log = Files.createTempFile("gateway", ".log");
+        Process gateway = null;
+        try (Net net = new Net("p", "r1").readable(); Registry elsewhere = new Registry(net.list(5, true, "p"))) {
+            Files.writeString(file, Net.configuration(net.registry, 256, 30_000));
+            gateway = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                    System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                    "ploverdale.Main", "serve", "--config", file.toString()).redirectError(log.toFile()).start();
+            int port = Integer.parseInt(line(log, "listens at").replaceAll(".*:(\\d+), .*", "$1"));
+            net.registry.asked("/registry/instances?from=1&hold_ms=5000");
+            Client c = new Client(port).greeted();
+            assertThat(net.read(c)).isEqualTo(ROW_7);
+
+            Files.writeString(file, "{\"name\":");
+            hangUp(gateway);
+            line(log, "new configuration not taken");
+            Files.writeString(file, Net.configuration(elsewhere, 256, 30_000));
+            hangUp(gateway);
+            elsewhere.asked("/registry/instances");
+            elsewhere.asked("/registry/instances?from=5&hold_ms=5000");
+            line(log, "server r1 listed GONE");
+            assertThat(net.read(c)).isEqualTo(ROW_7);
+            c.close();
+            gateway.destroy();
+            assertThat(gateway.waitFor(Net.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+            assertThat(gateway.exitValue()).isZero();
+        } finally {
+            if (gateway != null) {
+                gateway.destroyForcibly();
+            }
+            Files.delete(file);
+            Files.delete(log);
+        }
+    }
+
+    private static void hangUp(Process p) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor()).isZero();
+    }
+
+    /** Waits for a line of the log with this. */
+    private static String line(Path log, String part) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Net.PATIENCE_S);
+        while (true) {
+            for (String line : Files.readAllLines(log)) {
+                if (line.contains(part)) {
+                    return line;
+                }
+            }
+            assertThat(System.nanoTime()).as("the log has \"%s\":\n%s", part, Files.readString(log)).isLessThan(end);
+            Thread.sleep(20);
+        }
+    }
+
     @Test
     void badInputIsAnsweredWhereItCanBeAndEndsNoOtherConnection() throws Exception {
         try (Net net = new Net("p", "r1").started().readable()) {
