Practise ops before service, and let the first client in after the first probes

WARM_UP_ROUNDS of 50 lay under the 200 calls after which a method is compiled, and no round ran the module, the reading of ops or of answers. Then the first probes met the first clients' connections in the same moment.

--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
 import ploverdale.log.Log;
 import ploverdale.model.Action;
 import ploverdale.model.Happening;
@@ -27,8 +28,9 @@
  */
 public final class Gateway implements LogicLoop.Hands {
     private static final long STILL_ARRIVING_MS = 500; // after SIGTERM; new connections are served as before
-    private static final ServerId OWN = new ServerId(""); // stands for this gateway while it warms up
-    private static final int WARM_UP_ROUNDS = 50;
+    private static final int CALM_LOOKS = 5; // at the clock, with the loop on time, before service begins
+    private static final int CALM_MOST = 50;
+    private static final long START_LOOK_MS = 10;
     private static final long LOOK_MS = 20;
     private static final long SPARE_MS = 300; // past the longest op timeout; then the restart waits no longer
 
@@ -40,6 +42,7 @@
     private final ServerSide servers;
     private final Discovery discovery;
     private int room;
+    private int probesOut;
     private NetServer server; // held, since one that nobody holds may be closed
 
     private Gateway(Vertx vertx, Context context, Log log, GatewayFile file) {
@@ -83,37 +86,40 @@
                 .listen(file.listen().getPort(), file.listen().getAddress().getHostAddress())
                 .onSuccess(s -> {
                     server = s;
-                    servers.reachedAt(OWN, new InetSocketAddress(file.listen().getAddress(), s.actualPort()));
-                    warmUp(0, () -> begin(listening));
+                    new WarmUp(vertx, servers, file.terms()).run(
+                            new InetSocketAddress(file.listen().getAddress(), s.actualPort()),
+                            () -> begin(listening));
                 })
                 .onFailure(listening::fail);
     }
 
     /**
-     * Guards against a first probe that is late because this program is: the gateway first probes itself at its own
-     * address, which runs all that a probe and a query run, before the module hears of any server.
+     * Guards against first probes and first ops that are late because this program is: the module hears of the servers
+     * once the loop is on time, and the first client is let in once the first probes have ended.
      */
-    private void warmUp(int round, Runnable then) {
-        if (round == WARM_UP_ROUNDS) {
-            servers.closeIdle(OWN);
-            then.run();
-            return;
-        }
-        servers.probe(OWN, o -> vertx.runOnContext(x -> warmUp(round + 1, then)));
-    }
-
     private void begin(Promise<Gateway> listening) {
         loop.tell(file.terms().started());
-        listed(file.known());
-        discovery.follow();
-        loop.run(() -> { // behind what was just told
-            clients.ready();
-            log.line("gateway " + file.name() + " listens at " + file.listen().getAddress().getHostAddress()
-                    + ":" + port() + ", " + file.known().entries().size() + " servers known");
-            listening.complete(this);
+        when(() -> loop.behind() == 0, CALM_MOST, CALM_LOOKS, () -> {
+            listed(file.known());
+            discovery.follow();
+            when(() -> probesOut == 0, (int) (file.terms().connectLimit() / 10 / START_LOOK_MS) + 1, 1, () -> {
+                clients.ready();
+                log.line("gateway " + file.name() + " listens at " + file.listen().getAddress().getHostAddress()
+                        + ":" + port() + ", " + file.known().entries().size() + " servers known");
+                listening.complete(this);
+            });
         });
     }
 
+    /** Does the next thing once this was so at that many looks, or after the most looks. */
+    private void when(BooleanSupplier so, int most, int wanted, Runnable then) {
+        if (wanted == 0 || most == 0) {
+            then.run();
+        } else {
+            vertx.setTimer(START_LOOK_MS, x -> when(so, most - 1, so.getAsBoolean() ? wanted - 1 : wanted, then));
+        }
+    }
+
     /** Room for one more connection of either side: the longest idle one makes way, whose side it may be. */
     private boolean makeRoom() {
         if (clients.sessions() + servers.connections() >= room && !servers.closeLongestIdle()) {
@@ -177,7 +183,11 @@
 
     @Override
     public void probe(Action.Probe a) {
-        servers.probe(a.server(), o -> loop.tell(new Happening.ProbeEnded(a.server(), o.ending(), o.report())));
+        probesOut++;
+        servers.probe(a.server(), o -> {
+            probesOut--;
+            loop.tell(new Happening.ProbeEnded(a.server(), o.ending(), o.report()));
+        });
     }
 
     @Override
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -373,6 +373,7 @@
         volatile boolean reads; // answers reads by itself
         volatile boolean writes; // and writes
         volatile byte[] value = {7}; // with this
+        volatile int probed;
 
         Server(boolean primary) throws IOException {
             this.primary = primary;
@@ -401,6 +402,7 @@
                         continue;
                     }
                     if (g.text.startsWith("SHOW")) {
+                        probed++;
                         g.row(report().getBytes(UTF_8));
                     } else if (g.text.startsWith("SELECT") ? reads : writes) {
                         g.row(value);
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -44,6 +44,18 @@
         }
     }
 
+    @Test
+    void theFirstClientIsLetInOnceTheFirstProbesHaveEnded() throws Exception {
+        try (Net net = new Net("p", "r1").started()) {
+            for (Server s : net.servers.values()) {
+                assertThat(s.probed).as(net::log).isPositive();
+                assertThat(s.got).isEmpty(); // no made-up op of the practice reaches a server
+            }
+            assertThat(net.log().lines().filter(l -> l.contains("primary p") || l.contains("listens")).toList())
+                    .hasSize(2).last().asString().contains("listens");
+        }
+    }
+
     @Test
     void theFirstQueryMayComeRightBehindTheGreetingAndQueriesAreAnsweredInTheirOrder() throws Exception {
         try (Net net = new Net("p").started()) {
