Load reports that are spoilt, of the future or from before the first are not believed

Seen by a trace of first probes and answers: until a server has made its first report it tells x0=0.000,x1=0, which ServerSide.report took for a word of a replica in 1970; at each start all groups lost their listed primary ("group 0 primary no longer") for 0.2 to 0.8 s.

--- a/src/main/java/ploverdale/net/ServerSide.java
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -48,6 +48,7 @@
 
     private static final int IDLE_PARTS = 5; // an idle connection is closed with a fifth of its time left
     private static final int TOLD_MOST = 64; // a bound on memory; an answer tells a few
+    private static final long AHEAD_MOST = 500; // of the clock, in tenths of a ms; commits are rounded up
     private static final int LOOKS = 50; // for idle connections, in the time that one may be idle
 
     private final Vertx vertx;
@@ -431,6 +432,7 @@
         private Telling note() {
             Role role = role(told.get("rank"));
             double position = number(told.get("as_of"));
+            position = ahead(position) ? Double.NaN : position;
             return role == Role.UNKNOWN && Double.isNaN(position) ? null
                     : new Telling(role, Double.isNaN(position) ? Telling.UNTOLD : (long) Math.floor(position) * 10);
         }
@@ -449,7 +451,10 @@
         return "source".equals(word) ? Role.PRIMARY : "copy".equals(word) ? Role.REPLICA : Role.UNKNOWN;
     }
 
-    /** A load report as text, its positions in Unix seconds; what is misshapen counts as not told. */
+    /**
+     * A load report as text, its positions in Unix seconds. Guards against reports that would mislead: one that is in any
+     * part misshapen, of the future, or from before the server made its first counts as not told.
+     */
     private static Telling report(String text) {
         if (text == null) {
             return null;
@@ -458,12 +463,21 @@
         for (String part : text.split(",")) {
             int equals = part.indexOf('=');
             double v = equals < 0 ? Double.NaN : number(part.substring(equals + 1).trim());
-            if (!Double.isNaN(v)) {
-                values.put(part.substring(0, equals).trim(), v);
+            if (Double.isNaN(v) || v < 0) {
+                return null;
             }
+            values.put(part.substring(0, equals).trim(), v);
         }
-        return values.isEmpty() ? null : Terms.report(values.get("x0"), values.get("x1"),
-                values.getOrDefault("util", values.get("busy")), 0);
+        Double position = values.get("x0");
+        Double role = values.get("x1");
+        boolean sound = (position == null || position > 0 && !ahead(position * 1000))
+                && (role == null || role == 0 || role == 1);
+        return sound ? Terms.report(position, role, values.getOrDefault("util", values.get("busy")), 0) : null;
+    }
+
+    /** Every machine reads the same clock; a position beyond it is spoilt. */
+    private static boolean ahead(double positionMs) {
+        return positionMs * 10 > Clock.now() + AHEAD_MOST;
     }
 
     private static String text(byte[] bytes) {
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -374,6 +374,7 @@
         volatile boolean writes; // and writes
         volatile byte[] value = {7}; // with this
         volatile int probed;
+        volatile String vitals; // a report that is none of its own
 
         Server(boolean primary) throws IOException {
             this.primary = primary;
@@ -416,7 +417,7 @@
         }
 
         private String report() {
-            return "x0=" + System.currentTimeMillis() / 1000 + ",x1=" + (primary ? 1 : 0) + ",busy=0.1";
+            return vitals != null ? vitals : "x0=" + System.currentTimeMillis() / 1000 + ",x1=" + (primary ? 1 : 0) + ",busy=0.1";
         }
 
         /** The next query of an op. */
@@ -448,7 +449,9 @@
         Buffer answer(byte[] value) {
             Buffer b = Buffer.buffer();
             told(b, "rank", at.primary ? "source" : "copy");
-            told(b, "as_of", Long.toString(System.currentTimeMillis()));
+            if (at.vitals == null) {
+                told(b, "as_of", Long.toString(System.currentTimeMillis()));
+            }
             told(b, "vitals", at.report());
             return b.appendBuffer(PgCodec.acked(new PgCodec.Row(
                     new PgCodec.Column("val", 0, (short) 0, 17, (short) -1, -1, (short) 1), value, "SELECT 1")));
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import ploverdale.FakeHost.Client;
 import ploverdale.FakeHost.Got;
 import ploverdale.FakeHost.Net;
@@ -211,6 +213,24 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"x0=99999999999.000,x1=0,busy=0.1", "x0=NOW,x1=0,busy=\u0007", "x0=NOW,x1=7,busy=0", "x0=NOW,=,"})
+    void aReportThatIsSpoiltIsNotBelieved(String vitals) throws Exception {
+        try (Net net = new Net("p", "r1")) {
+            net.servers.get("p").vitals = "x0=0.000,x1=0,busy=0"; // has made none yet, and is the primary all the same
+            net.registry.whole = net.registry.whole.replaceFirst("\"cell\"", "\"rank\":\"source\",\"cell\"");
+            net.servers.get("r1").vitals = vitals.replace("NOW", Long.toString(System.currentTimeMillis() / 1000));
+            net.readable().started();
+            net.servers.get("r1").reads = false;
+            Client c = net.client();
+            for (int i = 0; i < 5; i++) {
+                assertThat(net.read(c)).as(net::log).isEqualTo(ROW_7);
+            }
+            assertThat(net.servers.get("r1").got).isEmpty(); // its position is unknown, so too old
+            assertThat(net.log()).doesNotContain("primary no longer");
+        }
+    }
+
     @Test
     void anAnswerCutShortOrOversizedMayHaveRun() throws Exception {
         try (Net net = new Net("p").started()) {
