Practise with a whole gateway of its own before service, connections and answers included

The practice so far accepted four connections in all and never ran an op from client to server and back. Now net.WarmUp runs 120 ops through a gateway of its own between a made-up client, server and discovery at free ports of the gateway's address, in a verticle that takes all of it along when it ends. Texts are put together inline: the call sites of their own cost each start some 60 made-up classes.

--- a/src/main/java/ploverdale/net/Discovery.java
+++ b/src/main/java/ploverdale/net/Discovery.java
@@ -43,6 +43,7 @@
     private long again = AGAIN_FIRST_MS;
     private long lostAt;
     private boolean lost;
+    private boolean stopped;
 
     public Discovery(Vertx vertx, Log log, Terms terms, InetSocketAddress at, Consumer<ServerList> told) {
         this.vertx = vertx;
@@ -67,9 +68,15 @@
         follow();
     }
 
+    /** Asks no more. */
+    public void stop() {
+        stopped = true;
+        vertx.cancelTimer(askTimer);
+    }
+
     private void askIn(long ms) {
         vertx.cancelTimer(askTimer);
-        askTimer = vertx.setTimer(ms, x -> ask());
+        askTimer = stopped ? -1 : vertx.setTimer(ms, x -> ask());
     }
 
     private void ask() {
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -1,6 +1,7 @@
 package ploverdale.net;
 
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -70,13 +71,16 @@
                         .setClassPathResolvingEnabled(false))).build();
     }
 
-    /** Starts a gateway; done when it listens. */
-    public static io.vertx.core.Future<Gateway> start(Vertx vertx, Log log, GatewayFile file) {
+    /** Practises, then starts a gateway; done when it listens. */
+    public static Future<Gateway> start(Vertx vertx, Log log, GatewayFile file) {
         Context context = vertx.getOrCreateContext();
+        return WarmUp.run(vertx, log, file).compose(x -> unpractised(vertx, context, log, file));
+    }
+
+    /** Starts a gateway as it is; done when it listens. */
+    static Future<Gateway> unpractised(Vertx vertx, Context context, Log log, GatewayFile file) {
         Promise<Gateway> listening = Promise.promise();
-        context.runOnContext(x -> {
-            new Gateway(vertx, context, log, file).listen(listening);
-        });
+        context.runOnContext(x -> new Gateway(vertx, context, log, file).listen(listening));
         return listening.future();
     }
 
@@ -86,9 +90,7 @@
                 .listen(file.listen().getPort(), file.listen().getAddress().getHostAddress())
                 .onSuccess(s -> {
                     server = s;
-                    new WarmUp(vertx, servers, file.terms()).run(
-                            new InetSocketAddress(file.listen().getAddress(), s.actualPort()),
-                            () -> begin(listening));
+                    begin(listening);
                 })
                 .onFailure(listening::fail);
     }
@@ -243,6 +245,11 @@
         });
     }
 
+    /** Asks discovery no more. */
+    void unfollow() {
+        discovery.stop();
+    }
+
     public void runOnLoop(Runnable what) {
         loop.run(what);
     }
--- a/src/main/java/ploverdale/net/PgCodec.java
+++ b/src/main/java/ploverdale/net/PgCodec.java
@@ -272,7 +272,8 @@
         return ready(b);
     }
 
-    private static void told(Buffer b, String name, String value) {
+    /** A ParameterStatus. */
+    public static void told(Buffer b, String name, String value) {
         b.appendByte((byte) 'S').appendInt(6 + name.length() + value.length());
         b.appendString(name).appendByte((byte) 0).appendString(value).appendByte((byte) 0);
     }
@@ -350,8 +351,13 @@
 
     /** A probe: asks for the report where there is one. */
     public static Buffer probe(boolean forReport) {
-        String text = forReport ? "SHOW vitals" : "SELECT 1";
-        return Buffer.buffer(24).appendByte((byte) 'Q').appendInt(5 + text.length()).appendString(text)
+        return query(forReport ? "SHOW vitals" : "SELECT 1");
+    }
+
+    /** A query with this text. */
+    public static Buffer query(String text) {
+        byte[] bytes = text.getBytes(UTF_8);
+        return Buffer.buffer(bytes.length + 6).appendByte((byte) 'Q').appendInt(5 + bytes.length).appendBytes(bytes)
                 .appendByte((byte) 0);
     }
 
--- a/src/main/java/ploverdale/net/WarmUp.java
+++ b/src/main/java/ploverdale/net/WarmUp.java
@@ -1,111 +1,158 @@
 package ploverdale.net;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import ploverdale.Logic;
-import ploverdale.model.Action;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import ploverdale.log.Log;
 import ploverdale.model.GroupId;
-import ploverdale.model.Happening;
-import ploverdale.model.Happening.Ending;
 import ploverdale.model.Listing;
-import ploverdale.model.OpId;
-import ploverdale.model.OpTypeId;
 import ploverdale.model.ServerId;
-import ploverdale.model.SessionId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
-import ploverdale.model.TenantId;
 import ploverdale.model.ZoneId;
-import ploverdale.net.LogicLoop.Clock;
-import ploverdale.terms.Terms;
 
 /**
- * Owns the practice before service: runs what a busy gateway runs, at its own address and with made-up ops, so that
- * classes are loaded and methods compiled before the first client waits for them. Must never reach a database server,
- * touch the module that serves, or go on once service has begun.
+ * Owns the practice before service: a gateway of its own, with a module of its own, between a made-up client, server and
+ * discovery at free ports of the gateway's address, so that classes are loaded and methods compiled before a client
+ * waits for them. Must never reach anyone else, leave anything behind, or keep service from beginning.
  */
 final class WarmUp {
-    private static final ServerId OWN = new ServerId(""); // stands for this gateway while it warms up
-    private static final int ROUNDS = 250; // a method is compiled after 200 calls
-    private static final int ROUNDS_A_TURN = 10; // of ops, between two on sockets
+    private static final int OPS = 120; // most is called twice an op or more, and compiled after 200 calls
+    private static final long MOST_MS = 8000; // then service begins all the same
+    private static final int ANSWERS_A_CONNECTION = 2;
+    private static final String COLUMN = "val";
 
-    private final Vertx vertx;
-    private final ServerSide servers;
-    private final Terms terms;
-    private final Logic practice = new Logic(); // thrown away with what it learned
-    private final PgCodec.ClientStream asked = new PgCodec.ClientStream();
-    private final PgCodec.ServerStream answered = new PgCodec.ServerStream();
-    private long now = Clock.now();
-    private int ops;
+    private WarmUp() {}
 
-    WarmUp(Vertx vertx, ServerSide servers, Terms terms) {
-        this.vertx = vertx;
-        this.servers = servers;
-        this.terms = terms;
+    /** Practises; done when all of it is gone again, however it went. */
+    static Future<Void> run(Vertx vertx, Log log, GatewayFile file) {
+        long began = System.nanoTime();
+        return vertx.deployVerticle(new Practice(file)).compose(vertx::undeploy).otherwise(e -> {
+            log.line("service begins without practice: " + e.getMessage());
+            return null;
+        }).onSuccess(x -> log.line("practised for " + (System.nanoTime() - began) / 1_000_000 + " ms"));
     }
 
-    /** Practises at this address, where the gateway listens, and then does what comes next. */
-    void run(java.net.InetSocketAddress own, Runnable then) {
-        servers.reachedAt(OWN, own);
-        asked.feed(PgCodec.hello());
-        asked.next();
-        tell(terms.started());
-        List<Listing> made = new ArrayList<>();
-        for (String name : List.of("a", "b", "c")) {
-            made.add(new Listing(new ServerId(name), new GroupId(0), new ZoneId(0), Listing.Stage.IN, name.equals("a"), 0));
+    /** All that it opens, its timers too, ends with it. */
+    private static final class Practice extends VerticleBase {
+        private final GatewayFile file;
+        private NetClient client;
+
+        private Practice(GatewayFile file) {
+            this.file = file;
         }
-        tell(new Happening.ListTold(true, false, made));
-        round(0, then);
-    }
 
-    /** A probe of this gateway by itself runs all that a connection and a query run; ops run the rest. */
-    private void round(int round, Runnable then) {
-        if (round == ROUNDS) {
-            servers.closeIdle(OWN);
-            then.run();
-            return;
+        @Override
+        public Future<?> start() {
+            Log nowhere = new Log(new PrintStream(OutputStream.nullOutputStream()));
+            client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
+            return listen(this::serve).compose(server -> listen(s -> list(s, server)).compose(list -> {
+                List<GatewayFile.Entry> made = new ArrayList<>();
+                for (String name : List.of("a", "b", "c")) {
+                    made.add(new GatewayFile.Entry(new Listing(new ServerId(name), new GroupId(0), new ZoneId(0),
+                            Listing.Stage.IN, true, 0), server));
+                }
+                return Gateway.unpractised(vertx, context, nowhere, new GatewayFile("practice", at(0), list, file.seed(),
+                        file.sockets(), file.terms(), new GatewayFile.ServerList(0, true, made, List.of())));
+            })).compose(g -> ops(at(g.port())).onComplete(x -> g.unfollow())).timeout(MOST_MS, TimeUnit.MILLISECONDS);
         }
-        if (round % ROUNDS_A_TURN == 0) {
-            for (int i = 0; i < ROUNDS_A_TURN; i++) {
-                op();
-            }
+
+        private InetSocketAddress at(int port) {
+            return new InetSocketAddress(file.listen().getAddress(), port);
         }
-        servers.probe(OWN, o -> vertx.runOnContext(x -> round(round + 1, then)));
-    }
 
-    private void op() {
-        now += 40;
-        int type = ops % terms.opTypes().size();
-        String tenant = terms.tenants().isEmpty() ? "" : ",t=" + terms.tenants().get(0);
-        byte[] text = ("SELECT val FROM state WHERE uid = 'k" + ops % 9 + "' /* id=" + ops++ + ",c="
-                + terms.opTypes().get(type) + tenant + ",d=900,cluster=0 */").getBytes(java.nio.charset.StandardCharsets.UTF_8);
-        asked.feed(Buffer.buffer().appendByte((byte) 'Q').appendInt(text.length + 5).appendBytes(text).appendByte((byte) 0));
-        if (asked.next() instanceof PgCodec.OpAsk ask) {
-            PgCodec.ask(ask, 300);
-            answered.feed(PgCodec.acked(new PgCodec.Row(new PgCodec.Column("val", 0, (short) 0, 17, (short) -1, -1,
-                    (short) 1), text, "SELECT 1")));
-            while (answered.next() != null) {
-                continue;
-            }
-            tell(new Happening.OpArrived(new OpId(ask.id()), new OpTypeId(type), new TenantId(0), new GroupId(0),
-                    new SessionId(ask.key()), now + 9000, false, 0, 0));
+        private Future<InetSocketAddress> listen(Consumer<NetSocket> to) {
+            return vertx.createNetServer().connectHandler(to::accept)
+                    .listen(0, file.listen().getAddress().getHostAddress()).map(NetServer::actualPort).map(this::at);
         }
-        tell(new Happening.WakeUp(0));
-    }
 
-    /** Has the practice module hear this, and what follows from what it then does. */
-    private void tell(Happening h) {
-        for (Action a : practice.on(now, h)) {
-            Role role = a instanceof Action.Send s && !s.server().text().equals("a") ? Role.REPLICA : Role.PRIMARY;
-            Telling told = new Telling(role, now, 0.3);
-            if (a instanceof Action.Probe p) {
-                tell(new Happening.ProbeEnded(p.server(), Ending.ACKED,
-                        new Telling(p.server().text().equals("a") ? Role.PRIMARY : Role.REPLICA, now, 0.3)));
-            } else if (a instanceof Action.Send s) {
-                tell(new Happening.SendEnded(s.op(), 0, s.server(), Ending.ACKED, 300, true, told, told));
+        /** Asks one op after the other, each on a connection of its own. */
+        private Future<Void> ops(InetSocketAddress gateway) {
+            Promise<Void> all = Promise.promise();
+            op(gateway, 0, all);
+            return all.future();
+        }
+
+        private void op(InetSocketAddress gateway, int i, Promise<Void> all) {
+            if (i == OPS) {
+                all.tryComplete();
+                return;
             }
+            client.connect(SocketAddress.inetSocketAddress(gateway)).onComplete(r -> {
+                if (r.failed()) {
+                    all.tryFail(r.cause());
+                    return;
+                }
+                NetSocket s = r.result();
+                PgCodec.ServerStream stream = new PgCodec.ServerStream();
+                int[] ready = {0};
+                s.handler(b -> {
+                    stream.feed(b);
+                    for (PgCodec.FromServer m = stream.next(); m != null; m = stream.next()) {
+                        if (m instanceof PgCodec.Ready && ++ready[0] == 2) { // the greeting and the op
+                            s.close();
+                        }
+                    }
+                });
+                s.closeHandler(x -> op(gateway, i + 1, all));
+                s.write(PgCodec.hello().appendBuffer(query(i)));
+            });
+        }
+
+        private Buffer query(int i) {
+            int type = i % file.terms().opTypes().size();
+            String tenant = file.terms().tenants().isEmpty() ? "" : ",t=" + file.terms().tenants().get(0);
+            return PgCodec.query("SELECT " + COLUMN + " FROM state WHERE uid = 'k" + i % 9 + "' /* id=" + i + ",c="
+                    + file.terms().opTypes().get(type) + tenant + ",d=900,cluster=0 */");
+        }
+
+        /** The made-up server, which ends its connections so that opening them is practised, too. */
+        private void serve(NetSocket s) {
+            PgCodec.ClientStream stream = new PgCodec.ClientStream();
+            int[] answers = {0};
+            s.handler(b -> {
+                stream.feed(b);
+                for (PgCodec.FromClient m = stream.next(); m != null; m = stream.next()) {
+                    if (m instanceof PgCodec.Hello) {
+                        s.write(PgCodec.welcome());
+                        continue;
+                    }
+                    long now = System.currentTimeMillis();
+                    String vitals = "x0=" + now / 1000 + "." + (1000 + now % 1000 + "").substring(1) + ",x1=1,util=0.1";
+                    Buffer answer = Buffer.buffer();
+                    PgCodec.told(answer, "rank", "source");
+                    PgCodec.told(answer, "as_of", Long.toString(now));
+                    PgCodec.told(answer, "vitals", vitals);
+                    s.write(answer.appendBuffer(PgCodec.acked(new PgCodec.Row(new PgCodec.Column(COLUMN, 0, (short) 0, 17,
+                            (short) -1, -1, (short) 1), vitals.getBytes(StandardCharsets.UTF_8), "SELECT 1"))));
+                    if (++answers[0] == ANSWERS_A_CONNECTION) {
+                        s.close();
+                        return;
+                    }
+                }
+            });
+        }
+
+        /** The made-up discovery: answers one call, and lets the watch that follows wait. */
+        private static void list(NetSocket s, InetSocketAddress server) {
+            String body = "{\"revision\":1,\"complete\":false,\"members\":[{\"id\":\"a\",\"host_port\":\""
+                    + server.getAddress().getHostAddress() + ":" + server.getPort()
+                    + "\",\"cell\":0,\"phase\":\"SERVING\",\"up_since_ms\":0}]}";
+            s.handler(b -> s.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .onComplete(x -> s.handler(more -> { })));
         }
     }
 }
--- a/src/main/java/ploverdale/toy/ToyClient.java
+++ b/src/main/java/ploverdale/toy/ToyClient.java
@@ -54,9 +54,7 @@
     public Future<String> ask(String text) {
         Promise<String> p = Promise.promise();
         waiting.add(p);
-        byte[] bytes = text.getBytes(UTF_8);
-        socket.write(Buffer.buffer().appendByte((byte) 'Q').appendInt(5 + bytes.length).appendBytes(bytes)
-                .appendByte((byte) 0));
+        socket.write(PgCodec.query(text));
         return p.future();
     }
 
--- a/src/main/java/ploverdale/toy/ToyServers.java
+++ b/src/main/java/ploverdale/toy/ToyServers.java
@@ -15,6 +15,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import ploverdale.net.GatewayFile;
+import ploverdale.net.PgCodec;
 
 /**
  * Owns a toy: database servers that share one table in memory, and the discovery that lists them, for a first try
@@ -127,8 +128,8 @@
         String vitals = "x0=" + now / 1000 + "." + String.format("%03d", now % 1000) + ",x1=" + (primary ? 1 : 0)
                 + ",busy=0.1";
         Buffer b = Buffer.buffer();
-        told(b, "rank", primary ? "source" : "copy");
-        told(b, "vitals", vitals);
+        PgCodec.told(b, "rank", primary ? "source" : "copy");
+        PgCodec.told(b, "vitals", vitals);
         Matcher quoted = QUOTED.matcher(text);
         String key = quoted.find() ? quoted.group(1) : "";
         if (text.startsWith("SHOW")) {
@@ -138,7 +139,7 @@
             return row(b, "1".getBytes(ISO_8859_1), "SELECT 1");
         }
         if (text.startsWith("SELECT")) {
-            told(b, "as_of", Long.toString(now));
+            PgCodec.told(b, "as_of", Long.toString(now));
             return row(b, bytes(table.getOrDefault(key, "")), "SELECT 1");
         }
         if (!primary) {
@@ -147,7 +148,7 @@
         String value = quoted.find() ? quoted.group(1) : "";
         table.put(key, value);
         writtenAt = now;
-        told(b, "as_of", Long.toString(writtenAt));
+        PgCodec.told(b, "as_of", Long.toString(writtenAt));
         return row(b, bytes(value), "INSERT 0 1");
     }
 
@@ -163,11 +164,6 @@
         return b;
     }
 
-    private static void told(Buffer b, String name, String value) {
-        b.appendByte((byte) 'S').appendInt(6 + name.length() + value.length());
-        b.appendString(name).appendByte((byte) 0).appendString(value).appendByte((byte) 0);
-    }
-
     private static Buffer row(Buffer b, byte[] value, String tag) {
         b.appendByte((byte) 'T').appendInt(28).appendShort((short) 1).appendString("val").appendByte((byte) 0);
         b.appendInt(0).appendShort((short) 0).appendInt(17).appendShort((short) -1).appendInt(-1).appendShort((short) 1);
--- a/src/test/java/ploverdale/FakeHost.java
+++ b/src/test/java/ploverdale/FakeHost.java
@@ -448,20 +448,15 @@
 
         Buffer answer(byte[] value) {
             Buffer b = Buffer.buffer();
-            told(b, "rank", at.primary ? "source" : "copy");
+            PgCodec.told(b, "rank", at.primary ? "source" : "copy");
             if (at.vitals == null) {
-                told(b, "as_of", Long.toString(System.currentTimeMillis()));
+                PgCodec.told(b, "as_of", Long.toString(System.currentTimeMillis()));
             }
-            told(b, "vitals", at.report());
+            PgCodec.told(b, "vitals", at.report());
             return b.appendBuffer(PgCodec.acked(new PgCodec.Row(
                     new PgCodec.Column("val", 0, (short) 0, 17, (short) -1, -1, (short) 1), value, "SELECT 1")));
         }
 
-        private static void told(Buffer b, String name, String value) {
-            b.appendByte((byte) 'S').appendInt(6 + name.length() + value.length()).appendString(name)
-                    .appendByte((byte) 0).appendString(value).appendByte((byte) 0);
-        }
-
         void problem(String code) throws IOException {
             Server.write(socket, PgCodec.problem(code, "no", null, false, true), false);
         }
--- a/src/test/java/ploverdale/PgCodecTest.java
+++ b/src/test/java/ploverdale/PgCodecTest.java
@@ -21,8 +21,7 @@
     private static final String READ = "SELECT val FROM state WHERE uid = 'k''1;/*' /* id=a1,c=page,t=north,d=480,cluster=2 */";
 
     static Buffer query(String text) {
-        byte[] b = text.getBytes(UTF_8);
-        return Buffer.buffer().appendByte((byte) 'Q').appendInt(5 + b.length).appendBytes(b).appendByte((byte) 0);
+        return PgCodec.query(text);
     }
 
     private static Buffer first(int length, int code) {
