At a planned restart serve on those connected, and end no connection with a query behind its greeting

Lines: ClientSide.flush ended a connection as soon as no answer was due once the restart had begun to end connections, so also between a greeting and the query that came in the same bytes. Now what has come is looked through first. Seen too: the gateway ended all connections 0.5 s after SIGTERM although a single gateway's clients have nowhere else to go and the platform leaves it 3.7 s.

--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -78,6 +78,7 @@
     private long load; // bytes of ops in hand, of messages not yet whole and of answers not yet read
     private boolean ready;
     private boolean ending;
+    private long answersBy = Long.MAX_VALUE;
 
     public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, BooleanSupplier room) {
         this.vertx = vertx;
@@ -128,10 +129,18 @@
         return taken.get(op);
     }
 
+    /** Whatever is taken from now on must be answered by this time. */
+    public void answerAllBy(long time) {
+        answersBy = time;
+    }
+
     /** From now on idle connections are ended, and others after their answers. */
     public void endIdle() {
+        if (!ending) {
+            log.line("planned restart: idle connections end, " + sessions.size() + " connections");
+        }
         ending = true;
-        List.copyOf(idle).forEach(Session::close);
+        List.copyOf(idle).forEach(Session::endIfDone);
     }
 
     public void acked(OpId op, PgCodec.Row row) {
@@ -314,9 +323,9 @@
             boolean inSession = ask.key() != null && (needs == Needs.WRITE || needs == Needs.SESSION);
             long now = Clock.now() - loop.behind();
             long tokenAge = ask.afterMs() <= 0 ? 0 : Math.max(1, now - ask.afterMs() * 10); // 0 is the word for none
+            long timeoutAt = Math.min(answersBy, now + (long) Math.floor(ask.waitMs() * 10));
             loop.tell(new Happening.OpArrived(op, new OpTypeId(type), new TenantId(tenant), new GroupId(ask.group()),
-                    inSession ? new SessionId(ask.key()) : null, now + (long) Math.floor(ask.waitMs() * 10),
-                    ask.again(), 0, tokenAge));
+                    inSession ? new SessionId(ask.key()) : null, timeoutAt, ask.again(), 0, tokenAge));
         }
 
         /** Writes the answers that are due, in order. */
@@ -333,10 +342,9 @@
                 }
             }
             if (!closed && slots.isEmpty()) {
-                if (ending && stream.greeted()) {
-                    close();
-                } else {
-                    idle.add(this);
+                idle.add(this);
+                if (ending) {
+                    endIfDone();
                 }
             }
             if (!closed && !unread && socket.writeQueueFull()) {
@@ -358,6 +366,13 @@
             }
         }
 
+        /** Guards against ending a connection with a query already here, as one right behind its greeting. */
+        private void endIfDone() {
+            if (stream.greeted() && stream.held() == 0 && first == null) {
+                close();
+            }
+        }
+
         /** Guards against clients that write more than they read: they are held back. */
         private void flow() {
             if (closed) {
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -33,7 +33,10 @@
     private static final int CALM_MOST = 50;
     private static final long START_LOOK_MS = 10;
     private static final long LOOK_MS = 20;
-    private static final long SPARE_MS = 300; // past the longest op timeout; then the restart waits no longer
+    private static final long LONGEST_COUNTED_MS = 3000; // the platform kills no earlier than after the longest op timeout,
+    private static final long KILLED_AFTER_MS = 700; // counted up to this, and this much more
+    private static final long ENDING_TAKES_MS = 1200; // for ops in hand, many times what one usually takes
+    private static final long SPARE_MS = 200; // of that for answers to be written, and half of it to exit
 
     private final Vertx vertx;
     private final Log log;
@@ -202,17 +205,25 @@
         discovery.follow();
     }
 
-    /** Planned restart: serves on while connections still arrive, then ends what is idle, and stops when none is left. */
+    /**
+     * Planned restart. Guards against time without service: goes on serving those that are connected for as long as the
+     * platform leaves it to run, then ends idle connections and the others after their answers, and stops when none is
+     * left. An op taken on the way is to be answered before the end, whatever its own op timeout.
+     */
     public void endPlanned(CountDownLatch done) {
         long longest = file.terms().started().opTypes().stream().mapToLong(OpType::opTimeout).max().orElse(0) / 10;
+        long killed = Math.min(longest, LONGEST_COUNTED_MS) + KILLED_AFTER_MS;
+        long ends = Math.max(STILL_ARRIVING_MS, killed - ENDING_TAKES_MS);
         long began = System.nanoTime();
-        log.line("planned restart: " + clients.sessions() + " connections, " + clients.opsInHand() + " ops in hand");
+        log.line("planned restart: " + clients.sessions() + " connections, " + clients.opsInHand()
+                + " ops in hand, serves on for " + ends + " ms");
+        clients.answerAllBy(LogicLoop.Clock.now() + (killed - SPARE_MS) * 10);
         vertx.setPeriodic(LOOK_MS, x -> {
             long passed = (System.nanoTime() - began) / 1_000_000;
-            if (passed >= STILL_ARRIVING_MS) {
+            if (passed >= ends) {
                 clients.endIdle();
             }
-            boolean over = passed >= STILL_ARRIVING_MS + longest + SPARE_MS;
+            boolean over = passed >= killed - SPARE_MS / 2;
             if (passed >= STILL_ARRIVING_MS + LOOK_MS && clients.sessions() == 0 || over) {
                 log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered");
                 done.countDown();
--- a/src/main/java/ploverdale/net/WarmUp.java
+++ b/src/main/java/ploverdale/net/WarmUp.java
@@ -31,7 +31,8 @@
  */
 final class WarmUp {
     private static final int OPS = 120; // most is called twice an op or more, and compiled after 200 calls
-    private static final long MOST_MS = 8000; // then service begins all the same
+    private static final long ENOUGH_MS = 3000; // on a slow machine; after a restart nobody may serve meanwhile
+    private static final long MOST_MS = 5000; // then service begins all the same
     private static final int ANSWERS_A_CONNECTION = 2;
     private static final String COLUMN = "val";
 
@@ -49,6 +50,7 @@
     /** All that it opens, its timers too, ends with it. */
     private static final class Practice extends VerticleBase {
         private final GatewayFile file;
+        private final long began = System.nanoTime();
         private NetClient client;
 
         private Practice(GatewayFile file) {
@@ -87,7 +89,7 @@
         }
 
         private void op(InetSocketAddress gateway, int i, Promise<Void> all) {
-            if (i == OPS) {
+            if (i == OPS || System.nanoTime() - began >= ENOUGH_MS * 1_000_000) {
                 all.tryComplete();
                 return;
             }
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -365,7 +365,14 @@
             CountDownLatch ended = new CountDownLatch(1);
             net.gateway.runOnLoop(() -> net.gateway.endPlanned(ended));
             net.logged("planned restart: 2 connections, 1 ops in hand");
-            assertThat(net.read(net.client())).isEqualTo(ROW_7);
+            Client later = net.client();
+            assertThat(net.read(later)).isEqualTo(ROW_7);
+            Thread.sleep(1000); // nobody else may be there to serve those that are connected
+            assertThat(net.read(later)).isEqualTo(ROW_7);
+            net.logged("planned restart: idle connections end");
+            Client last = new Client(net.gateway.port());
+            last.write(ploverdale.net.PgCodec.hello().appendBuffer(PgCodecTest.query(net.op("page"))));
+            assertThat(List.of(last.answer(), last.answer(), last.answer())).containsExactly("ready", ROW_7, "closed");
             assertThat(idle.answer()).isEqualTo("closed");
             assertThat(ended.getCount()).isEqualTo(1);
             g.row(new byte[] {3});
