--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -30,7 +30,10 @@
  */
 public final class ClientSide {
     private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
-    private static final long GREETING_MS = 5000; // for a first message to be whole
+    private static final long UNFINISHED_MS = 2200; // for a greeting or a message to be whole; the platform waits 3 s
+    private static final long IDLE_MS = 2100; // after which a connection may be ended; the platform grants 2 s
+    private static final int CROWDED_PART = 5; // of the descriptors; clients may hold a third
+    private static final long LOOK_MS = 100;
     private static final long LOAD_MOST = 16 * 1024 * 1024; // see makeLighter
     private static final long UNREAD_MS = 5000; // for a client to read on, before it is closed
 
@@ -69,10 +72,12 @@
     private final LogicLoop loop;
     private final Terms terms;
     private final BooleanSupplier room;
+    private final int crowded;
     private final Map<OpId, Taken> taken = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Set<Session> idle = new LinkedHashSet<>(); // longest first
     private final List<Session> early = new ArrayList<>(); // asked before the module was told what it needs
+    private final Set<Session> ungreeted = new LinkedHashSet<>(); // longest first
     private final Set<Session> unfinished = new LinkedHashSet<>(); // with part of a message, longest first
     private final Set<Session> heldBack = new LinkedHashSet<>(); // until the load is less
     private long load; // bytes of ops in hand, of messages not yet whole and of answers not yet read
@@ -80,12 +85,34 @@
     private boolean ending;
     private long answersBy = Long.MAX_VALUE;
 
-    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, BooleanSupplier room) {
+    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, int sockets, BooleanSupplier room) {
         this.vertx = vertx;
         this.log = log;
         this.loop = loop;
         this.terms = terms;
         this.room = room;
+        crowded = sockets / CROWDED_PART;
+        vertx.setPeriodic(LOOK_MS, x -> look());
+    }
+
+    /**
+     * Guards against clients that hold connections and do nothing with them: what they began ends in time, and where
+     * connections are many, those that have been idle longest make room for clients that find none.
+     */
+    private void look() {
+        long now = System.nanoTime() / 1_000_000;
+        endOld(ungreeted, now - UNFINISHED_MS, "client without a greeting");
+        endOld(unfinished, now - UNFINISHED_MS, "client with an unfinished message");
+        while (sessions.size() > crowded && closeLongestIdle(true)) {
+            continue;
+        }
+    }
+
+    private void endOld(Set<Session> all, long before, String what) {
+        while (!all.isEmpty() && all.iterator().next().since < before) {
+            log.often(what, "closed after " + UNFINISHED_MS + " ms");
+            all.iterator().next().giveUp(what);
+        }
     }
 
     /** Takes in a connection, or turns it away where there is no room for one. */
@@ -111,12 +138,13 @@
         return sessions.size();
     }
 
-    /** Closes the connection that has been idle longest; false where none is idle. */
-    public boolean closeLongestIdle() {
-        if (idle.isEmpty()) {
+    /** Closes the connection that has been idle longest, or only if it has been so for long; false where none is. */
+    public boolean closeLongestIdle(boolean ifLong) {
+        Session s = idle.isEmpty() ? null : idle.iterator().next();
+        if (s == null || ifLong && s.since >= System.nanoTime() / 1_000_000 - IDLE_MS) {
             return false;
         }
-        idle.iterator().next().close();
+        s.close();
         return true;
     }
 
@@ -159,13 +187,13 @@
 
     /**
      * Guards against what clients make a gateway hold: over the bound, those whose message has been unfinished longest
-     * lose their connections (no op of theirs was taken), and if that is not enough, no more is read for now.
+     * lose their connections, after the answers to what came before it; if that is not enough, no more is read for now.
      */
     private void makeLighter() {
         while (load >= LOAD_MOST && !unfinished.isEmpty()) {
             Session s = unfinished.iterator().next();
-            log.often("client with an unfinished message", "closed with " + s.partial + " bytes, " + load + " held in all");
-            s.close();
+            log.often("too much unfinished", "given up with " + s.partial + " bytes, " + load + " held in all");
+            s.giveUp("too much unfinished");
         }
     }
 
@@ -192,7 +220,7 @@
         private final NetSocket socket;
         private final PgCodec.ClientStream stream = new PgCodec.ClientStream();
         private final Deque<Slot> slots = new ArrayDeque<>();
-        private final long greetingTimer;
+        private long since = System.nanoTime() / 1_000_000; // it connected, or its message began, or it has been idle
         private boolean closed;
         private boolean deaf;
         private boolean paused;
@@ -207,12 +235,7 @@
             socket.handler(this::bytes);
             socket.closeHandler(x -> gone());
             socket.exceptionHandler(e -> log.often("client connection", String.valueOf(e.getMessage())));
-            greetingTimer = vertx.setTimer(GREETING_MS, x -> {
-                if (!stream.greeted() && !closed) {
-                    log.often("client without a greeting", "closed after " + GREETING_MS + " ms");
-                    close();
-                }
-            });
+            ungreeted.add(this);
         }
 
         private void bytes(Buffer more) {
@@ -229,20 +252,27 @@
         }
 
         private void read() {
+            boolean cut = false;
+            boolean part = false;
             while (!closed && !deaf && load < LOAD_MOST && slots.size() < AHEAD_MOST && !unread && first == null) {
                 PgCodec.FromClient m = stream.next();
-                if (m == null) {
+                part = m == null;
+                if (part) {
                     break;
                 }
+                cut = true;
                 message(m);
             }
             if (!closed) {
                 load += stream.held() - partial;
                 partial = stream.held();
-                if (partial == 0) {
+                boolean begun = part && partial > 0 && stream.greeted(); // not what waits here for answers before it
+                if (!begun || cut) {
                     unfinished.remove(this);
-                } else {
-                    unfinished.add(this);
+                }
+                if (begun && unfinished.add(this)) {
+                    since = System.nanoTime() / 1_000_000;
+                    idle.remove(this);
                 }
                 makeLighter();
                 flow();
@@ -263,7 +293,7 @@
             } else if (m instanceof PgCodec.OpAsk ask && !skipping) {
                 op(ask);
             } else if (m instanceof PgCodec.Hello) {
-                vertx.cancelTimer(greetingTimer);
+                ungreeted.remove(this);
                 put(PgCodec.welcome());
             } else if (m instanceof PgCodec.WantsCover) {
                 put(Buffer.buffer("N"));
@@ -282,6 +312,16 @@
             }
         }
 
+        /** Ends with what it began; ops taken before that are answered first. */
+        private void giveUp(String why) {
+            ungreeted.remove(this);
+            unfinished.remove(this);
+            stream.clear();
+            lighter(partial);
+            partial = 0;
+            bad("08P01", why, true);
+        }
+
         private void bad(String code, String text, boolean ends) {
             if (ready) {
                 log.often("bad input from a client", code + " " + text);
@@ -342,7 +382,11 @@
                 }
             }
             if (!closed && slots.isEmpty()) {
-                idle.add(this);
+                if (!unfinished.contains(this)) {
+                    since = System.nanoTime() / 1_000_000;
+                    idle.remove(this);
+                    idle.add(this); // as the one that has been idle shortest
+                }
                 if (ending) {
                     endIfDone();
                 }
@@ -403,13 +447,13 @@
                 return;
             }
             closed = true;
-            stream.clear(); // and the timer: what refers to an ended session must not keep its bytes
-            vertx.cancelTimer(greetingTimer);
+            stream.clear(); // what refers to an ended session must not keep its bytes
             lighter(partial + unreadBytes);
             partial = 0;
             unreadBytes = 0;
             heldBack.remove(this);
             unfinished.remove(this);
+            ungreeted.remove(this);
             early.remove(this);
             sessions.remove(this);
             idle.remove(this);
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -55,7 +55,7 @@
         this.file = file;
         room = room(file);
         loop = new LogicLoop(vertx, context, log, this);
-        clients = new ClientSide(vertx, log, loop, file.terms(), this::makeRoom);
+        clients = new ClientSide(vertx, log, loop, file.terms(), file.sockets(), this::makeRoom);
         servers = new ServerSide(vertx, log, file.terms(), this::makeRoom);
         discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
     }
@@ -125,10 +125,11 @@
         }
     }
 
-    /** Room for one more connection of either side: the longest idle one makes way, whose side it may be. */
+    /** Room for one more connection of either side: clients that have long been idle make way, then the longest idle. */
     private boolean makeRoom() {
-        if (clients.sessions() + servers.connections() >= room && !servers.closeLongestIdle()) {
-            clients.closeLongestIdle();
+        if (clients.sessions() + servers.connections() >= room && !clients.closeLongestIdle(true)
+                && !servers.closeLongestIdle()) {
+            clients.closeLongestIdle(false);
         }
         return clients.sessions() + servers.connections() < room;
     }
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -494,13 +494,44 @@
         }
     }
 
+    @Test
+    void whatAClientBeginsAndDoesNotEndIsEndedAndAnOpTakenBeforeItIsAnswered() throws Exception {
+        try (Net net = new Net("p", "r1").started()) {
+            Client silent = new Client(net.gateway.port());
+            Client half = new Client(net.gateway.port()).write(Buffer.buffer().appendInt(40));
+            Client lateHalf = net.client().write(bytes('Q', 50));
+            Client taken = net.client().ask(net.op("order")).write(bytes('Q', 50));
+            Got g = net.servers.get("p").next();
+            for (Client c : List.of(silent, half, lateHalf)) {
+                assertThat(c.answer()).isEqualTo("08P01 closed");
+            }
+            net.logged("client with an unfinished message");
+            g.row(new byte[] {7});
+            assertThat(List.of(taken.answer(), taken.answer())).containsExactly(ROW_7, "08P01 closed");
+        }
+    }
+
+    @Test
+    void whereClientsAreManyThoseLongIdleMakeRoom() throws Exception {
+        try (Net net = new Net("p", "r1").started(64, 30_000).readable()) { // a fifth of them is 12
+            List<Client> all = new ArrayList<>();
+            for (int i = 0; i < 15; i++) {
+                all.add(net.client());
+            }
+            for (Client c : all.subList(0, 3)) {
+                assertThat(c.answer()).isEqualTo("closed");
+            }
+            assertThat(net.read(all.get(14))).isEqualTo(ROW_7);
+        }
+    }
+
     @Test
     void messagesThatAreBegunAndNotEndedCostTheirClientsTheConnectionsAndOthersAreServed() throws Exception {
         try (Net net = new Net("p", "r1").started().readable()) {
             for (int i = 0; i < 140; i++) {
                 net.client().write(bytes('Q', 130_000).appendBytes(new byte[125_000]));
             }
-            net.logged("client with an unfinished message");
+            net.logged("too much unfinished");
             assertThat(net.read(net.client())).isEqualTo(ROW_7);
         }
     }
