--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -25,8 +25,7 @@
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
 
     private RandomGenerator chance;
-    private double firstLimit;
-    private double leastLimit;
+    private double firstLimit, leastLimit;
     private List<OpType> opTypes;
     private double beyondShareValue;
     private Pledges pledges;
@@ -670,7 +669,8 @@
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
                 if (op.type.needs() == Needs.WRITE) {
-                    learnRole(m, new Telling(Role.REPLICA, Telling.UNTOLD), now);
+                    // Guards against one that hands over: it still calls itself primary and turns writes away.
+                    learnRole(m, new Telling(Role.REPLICA, Telling.UNTOLD), now + ASK_AGAIN);
                 }
             }
         }
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/src/test/java/ploverdale/LogicTest.java
@@ -284,6 +284,19 @@
         assertThat(host.sends(write)).containsExactly("p", "r2");
     }
 
+    @Test
+    void aPrimaryThatHandsOverIsNotBelievedRightAfterItTurnedAWriteAway() {
+        OpId read = host.ask(FakeHost.FRESH);
+        OpId write = host.ask(FakeHost.SUBMIT);
+        host.ends(write, 0, "p", Ending.TURNED_AWAY, null);
+        host.nowMs += 20;
+        host.ends(read, 0, "p", Ending.ACKED, note(Role.PRIMARY, host.nowMs)); // as it still calls itself
+        assertThat(host.sends(write)).containsExactly("p");
+        host.nowMs += 150;
+        host.probed("p", Role.PRIMARY, host.nowMs);
+        assertThat(host.sends(write)).containsExactly("p", "p");
+    }
+
     @Test
     void anOldReportDoesNotBringBackAStalePrimary() {
         host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
