Resets by chance are not held against a server, and kept connections often lost are not reused

Seen by a trace of what the module holds: limits of 1 or 2 at most servers with hardly anything out, three to five servers silent for "fails 31 %", scarce mode always on. Lines: learnHealth cut the limit at any failed connect and let it not grow for 2 s after any reset; a reset counted as a whole failure; one quick failed connect made connections scarce, which closes idle ones and so makes more connects that can fail. Now a connection cut off on its way is an ending of its own (CUT_OFF: not run, not the server's word; a lack of descriptors here is NEVER_SENT); the limit is cut by refusals in a row or slow ones; what may be the network's doing counts half. Also seen: connections idle for 120 to 200 ms lost 45 % of their next sends, others 5 %; and 2 to 3 in 100 are closed right behind an answer. ServerSide now takes a connection that has rested 5 ms where one is free, and closes those idle for as long as many lately lost.

--- a/src/main/java/ploverdale/Logic.java
+++ b/src/main/java/ploverdale/Logic.java
@@ -39,15 +39,12 @@
     private final Map<OpId, Op> ops = new LinkedHashMap<>();
     private final SessionWrites sessionWrites = new SessionWrites(50_000); // some megabytes
     private final List<Pace> paces = new ArrayList<>();
-    private double[] shareRate;
-    private double[] shareLeft;
+    private double[] shareRate, shareLeft;
     private long[] shareAt;
     private double resendsLeft = SAVED_MOST;
-    private double probesLeft;
-    private double shedPrice;
-    private long askListAt = Long.MAX_VALUE;
+    private double probesLeft, shedPrice;
     private long scarceUntil = Telling.UNTOLD;
-    private long nextBeat = Long.MIN_VALUE;
+    private long nextBeat = Long.MIN_VALUE, askListAt = Long.MAX_VALUE;
 
     private long now;
     private List<Action> out;
@@ -624,13 +621,15 @@
 
     private void learnHealth(Member m, Op op, Happening.SendEnded e) {
         Ending ending = e.ending();
-        if (ending == Ending.NOT_CONNECTED || ending == Ending.BROKEN_OFF) {
+        if (ending == Ending.NOT_CONNECTED) {
+            // Guards against networks that reset by chance: refusals in a row, or slow ones, are the server's.
+            m.refusesConnects = e.took() < PATIENCE && now - m.connectFailedAt < BRIEF / 3;
             m.connectFailedAt = now;
-            m.refusesConnects = ending == Ending.NOT_CONNECTED && e.took() < PATIENCE;
-            if (m.answeredAt < op.sentAt) { // dead, out of connections or slow at handshakes; a probe tells
-                m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1);
-                probe(m);
-            }
+            m.cutAt = m.refusesConnects || e.took() >= PATIENCE ? now : m.cutAt;
+        }
+        if (ending.isOfConnection() && m.answeredAt < op.sentAt) {
+            m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1); // dead, or no room; a probe tells
+            probe(m);
         } else if (ending.byServer) {
             m.answeredAt = m.heardAt = now;
             m.deadSigns = 0;
@@ -638,7 +637,7 @@
                 returns(m, true, "answers");
             }
         }
-        if (ending == Ending.NOT_CONNECTED || ending == Ending.FULL) {
+        if (ending == Ending.FULL || ending == Ending.NOT_CONNECTED && m.cutAt == now) {
             m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size())); // what is open already is kept
         }
         switch (ending) {
@@ -650,9 +649,10 @@
                 learnPace(m, op, e.took(), e.took());
                 m.failShare *= 1 - NEWEST;
             }
-            case ERRORED, BROKEN_OFF, NOT_CONNECTED -> {
+            case ERRORED, BROKEN_OFF, CUT_OFF, NOT_CONNECTED -> {
                 // Guards against servers that fail fast and so draw traffic; leaves the group enough others.
-                m.failShare += NEWEST * (1 - m.failShare);
+                // What may be the network's doing counts half.
+                m.failShare += NEWEST * ((ending == Ending.ERRORED ? 1 : 0.5) - m.failShare);
                 long well = m.group.members.stream().filter(o -> o != m && o.isIn() && !o.silent).count();
                 if (m.failShare >= FAIL_SHARE && m != m.group.primary && well * 2 >= m.group.members.size()) {
                     silent(m, "fails " + Math.round(m.failShare * 100) + " %");
@@ -669,7 +669,7 @@
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
                 if (op.type.needs() == Needs.WRITE) {
-                    // Guards against one that hands over: it still calls itself primary and turns writes away.
+                    // Guards against one that hands over: it turns writes away and still signs as primary.
                     learnRole(m, new Telling(Role.REPLICA, Telling.UNTOLD), now + ASK_AGAIN);
                 }
             }
@@ -690,7 +690,7 @@
         m.pressure += NEWEST * (Math.min(3, load / Math.max(1.0, op.targetAt - op.arrivedAt)) - m.pressure);
         if (m.pressure > PRESSURE_WANTED) {
             m.limit = Math.max(leastLimit, m.limit - LIMIT_STEP);
-        } else if (m.out.size() + 1 >= m.limit * 0.7 && now - m.connectFailedAt > HEARD_LASTS) {
+        } else if (m.out.size() + 1 >= m.limit * 0.7 && now - m.cutAt > HEARD_LASTS) {
             m.limit += LIMIT_STEP;
         }
     }
--- a/src/main/java/ploverdale/model/Happening.java
+++ b/src/main/java/ploverdale/model/Happening.java
@@ -38,10 +38,10 @@
     /** Another gateway's message. */
     record PeerMessage(int from, String hex) implements Happening {}
 
-    /** How a send ended. */
+    /** How a send ended. Cut off: on the way to a connection, by whom is not known; broken off: after it was sent. */
     enum Ending {
         ACKED(false, true), ERRORED(false, true), FULL(true, true), TIMED_OUT(false, false),
-        NOT_CONNECTED(true, false), BROKEN_OFF(false, false), CALLED_OFF(false, false), NEVER_SENT(true, false),
+        NOT_CONNECTED(true, false), CUT_OFF(true, false), BROKEN_OFF(false, false), CALLED_OFF(false, false), NEVER_SENT(true, false),
         TURNED_AWAY(true, true);
 
         /** True when this proves that the op did not run. */
@@ -50,6 +50,11 @@
         /** True when the server itself said so. */
         public final boolean byServer;
 
+        /** True when the connection was lost or never made. */
+        public boolean isOfConnection() {
+            return this == NOT_CONNECTED || this == CUT_OFF || this == BROKEN_OFF;
+        }
+
         Ending(boolean provesNotRun, boolean byServer) {
             this.provesNotRun = provesNotRun;
             this.byServer = byServer;
--- a/src/main/java/ploverdale/net/ServerSide.java
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -1,11 +1,13 @@
 package ploverdale.net;
 
+import io.netty.channel.ChannelException;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -49,6 +51,7 @@
     private static final int IDLE_PARTS = 5; // an idle connection is closed with a fifth of its time left
     private static final int TOLD_MOST = 64; // a bound on memory; an answer tells a few
     private static final long AHEAD_MOST = 500; // of the clock, in tenths of a ms; commits are rounded up
+    private static final long REST = 50; // after an answer, in tenths of a ms; a close behind it has come by then
     private static final int LOOKS = 50; // for idle connections, in the time that one may be idle
 
     private final Vertx vertx;
@@ -59,6 +62,7 @@
     private final Map<ServerId, Server> servers = new HashMap<>();
     private final Map<OpId, Sending> byOp = new HashMap<>();
     private final Set<Connection> idle = new LinkedHashSet<>(); // longest first
+    private final Losses losses = new Losses();
     private int connections;
 
     public ServerSide(Vertx vertx, Log log, Terms terms, BooleanSupplier room) {
@@ -138,8 +142,9 @@
         if (op != null) {
             byOp.put(op, x);
         }
-        Connection c = s.free.pollLast();
+        Connection c = free(s);
         if (c != null) {
+            s.free.remove(c);
             idle.remove(c);
             c.write(x);
             return;
@@ -150,6 +155,51 @@
         }
     }
 
+    /**
+     * The connection for the next send, or null. Guards against those closed right behind an answer, by taking one that
+     * has rested for a moment where there is one, and against those that the way has forgotten, by leaving out what has
+     * been idle for as long as many that were lost at their next send.
+     */
+    private Connection free(Server s) {
+        long now = Clock.now();
+        Connection best = null;
+        for (Connection c : List.copyOf(s.free)) { // latest last
+            long rested = now - c.idleSince;
+            if (losses.tooMany(rested, now)) {
+                c.close();
+            } else if (best == null || rested >= REST) {
+                best = c;
+            }
+        }
+        return best;
+    }
+
+    /** How many kept connections were lately lost at their next send, by how long they had been idle. */
+    private static final class Losses {
+        private static final long FIRST = 500; // doubled a step; shorter rests are not judged
+        private static final double NEWEST = 0.1;
+        private static final double TOO_MANY = 0.3; // more than resets by chance would make
+        private static final double FADES_IN = 100_000; // then such connections are tried again
+        private final double[] share = new double[24];
+        private final long[] at = new long[24];
+
+        private static int step(long rested) {
+            return 64 - Long.numberOfLeadingZeros(Math.max(0, rested / FIRST));
+        }
+
+        private boolean tooMany(long rested, long now) {
+            int step = Math.min(step(rested), share.length - 1);
+            return step > 0 && share[step] * Math.exp(-(now - at[step]) / FADES_IN) > TOO_MANY;
+        }
+
+        private void learn(long rested, boolean lost, long now) {
+            int step = Math.min(step(rested), share.length - 1);
+            share[step] *= Math.exp(-(now - at[step]) / FADES_IN);
+            share[step] += NEWEST * ((lost ? 1 : 0) - share[step]);
+            at[step] = now;
+        }
+    }
+
     /** A probe: how the server is, in as long as a connection may take to make. */
     public void probe(ServerId id, Ear ear) {
         send(null, id, terms.connectLimit(), waitMs -> PgCodec.probe(terms.reportsInProbes()), ear);
@@ -223,6 +273,7 @@
         private boolean closed;
         private long openTimer;
         private long idleSince;
+        private long rest = -1; // before the send that is out; below 0: it is the first
 
         private Sending sending;
         private final Map<String, String> told = new HashMap<>();
@@ -239,10 +290,10 @@
         }
 
         private void open() {
-            openTimer = vertx.setTimer((terms.connectLimit() + 9) / 10, x -> lost("not up in time"));
+            openTimer = vertx.setTimer((terms.connectLimit() + 9) / 10, x -> lost("not up in time", Ending.NOT_CONNECTED));
             net.connect(SocketAddress.inetSocketAddress(address)).onComplete(r -> {
                 if (r.failed()) {
-                    lost(String.valueOf(r.cause().getMessage()));
+                    connect(r.cause());
                     return;
                 }
                 socket = r.result();
@@ -295,7 +346,7 @@
                     up = true;
                     ready = true;
                 } else if (m instanceof PgCodec.Problem p) {
-                    lost("refused with " + p.code());
+                    lost("refused with " + p.code(), Ending.NOT_CONNECTED);
                 } else if (!(m instanceof PgCodec.LetIn)) {
                     outOfOrder("an answer before any query");
                 }
@@ -336,6 +387,7 @@
         private void write(Sending x) {
             sending = x;
             rested = false;
+            rest = idleSince == 0 ? -1 : Clock.now() - idleSince;
             x.on = this;
             x.reach = Reach.IN_DOUBT;
             told.clear();
@@ -382,6 +434,7 @@
         private void finish() {
             Sending x = sending;
             sending = null;
+            rested(false);
             Telling note = note();
             Telling report = terms.reportsInAnswers() ? report(told.get("vitals")) : null;
             boolean probe = x.op == null;
@@ -397,6 +450,12 @@
             }
         }
 
+        private void rested(boolean lost) {
+            if (rest >= 0) {
+                losses.learn(rest, lost, Clock.now());
+            }
+        }
+
         private void close() {
             if (!closed) {
                 closed = true;
@@ -410,8 +469,23 @@
             }
         }
 
-        /** The connection has ended or never came up; what was out on it ends with it. */
+        /**
+         * Why no connection was made. Guards against taking a network's doing, or a lack here, for the server's: only
+         * what was refused or took too long counts against it.
+         */
+        private void connect(Throwable e) {
+            boolean here = e instanceof ChannelException; // no descriptor left
+            lost(String.valueOf(e.getMessage()), here ? Ending.NEVER_SENT
+                    : e instanceof ConnectException ? Ending.NOT_CONNECTED : Ending.CUT_OFF);
+        }
+
+        /** The connection has ended; what was out on it ends with it. */
         private void lost(String why) {
+            lost(why, Ending.CUT_OFF);
+        }
+
+        /** The same; the ending is that of a send not written whole. */
+        private void lost(String why, Ending unwritten) {
             if (closed) {
                 return;
             }
@@ -425,8 +499,11 @@
                 finish();
                 return;
             }
+            if (up && column == null) {
+                rested(true);
+            }
             boolean written = x.reach == Reach.IN_DOUBT || x.reach == Reach.WRITTEN;
-            x.end(written ? Ending.BROKEN_OFF : Ending.NOT_CONNECTED, null, null, null);
+            x.end(written ? Ending.BROKEN_OFF : unwritten, null, null, null);
         }
 
         private Telling note() {
--- a/src/main/java/ploverdale/state/Member.java
+++ b/src/main/java/ploverdale/state/Member.java
@@ -27,6 +27,7 @@
     public long heardAt = Telling.UNTOLD;
     public long connectFailedAt = Telling.UNTOLD;
     public boolean refusesConnects;
+    public long cutAt = Telling.UNTOLD;
     public long probedAt = Telling.UNTOLD;
     public boolean probeOut;
 
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -136,6 +136,47 @@
         }
     }
 
+    @Test
+    void aConnectionThatAnsweredJustNowRestsWhileAnotherIsFree() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Server p = net.servers.get("p");
+            Client one = net.client();
+            Client other = net.client();
+            boolean rested = false;
+            for (int i = 0; i < 50 && !rested; i++) { // often, since the moment is short and this machine may be slow
+                one.ask(net.op("order"));
+                Got first = p.next();
+                other.ask(net.op("order"));
+                Got second = p.next();
+                first.row(new byte[] {7});
+                assertThat(one.answer()).isEqualTo(ROW_7);
+                Thread.sleep(20);
+                second.row(new byte[] {7});
+                assertThat(other.answer()).isEqualTo(ROW_7);
+                one.ask(net.op("order"));
+                Got third = p.next();
+                rested = third.socket() == first.socket();
+                third.row(new byte[] {7});
+                assertThat(one.answer()).isEqualTo(ROW_7);
+            }
+            assertThat(rested).isTrue();
+        }
+    }
+
+    @Test
+    void connectionsIdleForAsLongAsManyThatWereLostAreNotUsedAgain() throws Exception {
+        try (Net net = new Net("p").started().readable()) {
+            Server p = net.servers.get("p");
+            p.forgetsMs = 60;
+            Client c = net.client();
+            for (int i = 0; i < 20; i++) {
+                assertThat(net.read(c)).as(net::log).isEqualTo(ROW_7);
+                Thread.sleep(130);
+            }
+            assertThat(p.forgotten).isBetween(1, 12);
+        }
+    }
+
     @Test
     void givingUpClosesTheConnectionAndALateAnswerReachesNoOtherOp() throws Exception {
         try (Net net = new Net("p").started()) {
