A descriptor counts until its connection is closed for good, and opening waits for one

Traced every 50 ms: usually 14 descriptors beside the connections counted, but more as a new primary is found: the held writes open some 50 connections in one turn of the loop, each makes one idle connection close, and a closed one gives its descriptor back a turn later only. Lines: Gateway.makeRoom counted it as free at once. Excluded: connects that come up late (none), connections not counted.

--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -32,6 +32,7 @@
     private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
     private static final long UNFINISHED_MS = 2200; // for a greeting or a message to be whole; the platform waits 3 s
     private static final long IDLE_MS = 2100; // after which a connection may be ended; the platform grants 2 s
+    private static final long MOMENT_MS = 100; // so that a client that has just been let in may ask
     private static final int CROWDED_PART = 5; // of the descriptors; clients may hold a third
     private static final long LOOK_MS = 100;
     private static final long LOAD_MOST = 16 * 1024 * 1024; // see makeLighter
@@ -81,6 +82,7 @@
     private final Set<Session> unfinished = new LinkedHashSet<>(); // with part of a message, longest first
     private final Set<Session> heldBack = new LinkedHashSet<>(); // until the load is less
     private long load; // bytes of ops in hand, of messages not yet whole and of answers not yet read
+    private int closing;
     private boolean ready;
     private boolean ending;
     private long answersBy = Long.MAX_VALUE;
@@ -138,10 +140,15 @@
         return sessions.size();
     }
 
-    /** Closes the connection that has been idle longest, or only if it has been so for long; false where none is. */
+    /** Connections closed in this turn of the loop. */
+    public int closing() {
+        return closing;
+    }
+
+    /** Closes the connection that has been idle longest if that is long, or at least a moment; false where none is. */
     public boolean closeLongestIdle(boolean ifLong) {
         Session s = idle.isEmpty() ? null : idle.iterator().next();
-        if (s == null || ifLong && s.since >= System.nanoTime() / 1_000_000 - IDLE_MS) {
+        if (s == null || s.since > System.nanoTime() / 1_000_000 - (ifLong ? IDLE_MS : MOMENT_MS)) {
             return false;
         }
         s.close();
@@ -447,6 +454,8 @@
                 return;
             }
             closed = true;
+            closing++;
+            vertx.setTimer(1, x -> closing--);
             stream.clear(); // what refers to an ended session must not keep its bytes
             lighter(partial + unreadBytes);
             partial = 0;
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -29,6 +29,7 @@
  */
 public final class Gateway implements LogicLoop.Hands {
     private static final long STILL_ARRIVING_MS = 500; // after SIGTERM; new connections are served as before
+    private static final int CROSSING_PART = 3; // of the spare ones, for connections that open as others close
     private static final int CALM_LOOKS = 5; // at the clock, with the loop on time, before service begins
     private static final int CALM_MOST = 50;
     private static final long START_LOOK_MS = 10;
@@ -55,14 +56,18 @@
         this.file = file;
         room = room(file);
         loop = new LogicLoop(vertx, context, log, this);
-        clients = new ClientSide(vertx, log, loop, file.terms(), file.sockets(), this::makeRoom);
-        servers = new ServerSide(vertx, log, file.terms(), this::makeRoom);
+        clients = new ClientSide(vertx, log, loop, file.terms(), file.sockets(), () -> makeRoom(true));
+        servers = new ServerSide(vertx, log, file.terms(), () -> makeRoom(false));
         discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
     }
 
     /** What connections may take; the rest is for the program's own files, discovery, crossing closes. */
     private static int room(GatewayFile file) {
-        return file.sockets() - Math.max(16, file.sockets() / 8);
+        return file.sockets() - spare(file);
+    }
+
+    private static int spare(GatewayFile file) {
+        return Math.max(24, file.sockets() / 8);
     }
 
     /** One event loop for all; nothing looked up by name, no files kept. */
@@ -125,13 +130,18 @@
         }
     }
 
-    /** Room for one more connection of either side: clients that have long been idle make way, then the longest idle. */
-    private boolean makeRoom() {
-        if (clients.sessions() + servers.connections() >= room && !clients.closeLongestIdle(true)
-                && !servers.closeLongestIdle()) {
-            clients.closeLongestIdle(false);
+    /**
+     * Room for one more connection, to a server or (accepted already) of a client: clients that have long been idle make
+     * way, then the longest idle. Guards against running out of descriptors when many ops are released at once, after
+     * which no client is accepted for a second: one that is closed gives its descriptor back a turn of the loop later.
+     */
+    private boolean makeRoom(boolean accepted) {
+        while (clients.sessions() + servers.connections() >= room && (clients.closeLongestIdle(true)
+                || servers.closeLongestIdle() || clients.closeLongestIdle(false))) {
+            continue;
         }
-        return clients.sessions() + servers.connections() < room;
+        int closing = accepted ? 0 : clients.closing() + servers.closing();
+        return clients.sessions() + servers.connections() + closing < room + spare(file) / CROSSING_PART;
     }
 
     /** Where it listens. */
--- a/src/main/java/ploverdale/net/ServerSide.java
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -52,6 +52,8 @@
     private static final int TOLD_MOST = 64; // a bound on memory; an answer tells a few
     private static final long AHEAD_MOST = 500; // of the clock, in tenths of a ms; commits are rounded up
     private static final long REST = 50; // after an answer, in tenths of a ms; a close behind it has come by then
+    private static final int OPEN_TRIES = 10; // for room
+    private static final long OPEN_AGAIN_MS = 2;
     private static final int LOOKS = 50; // for idle connections, in the time that one may be idle
 
     private final Vertx vertx;
@@ -64,6 +66,7 @@
     private final Set<Connection> idle = new LinkedHashSet<>(); // longest first
     private final Losses losses = new Losses();
     private int connections;
+    private int closing;
 
     public ServerSide(Vertx vertx, Log log, Terms terms, BooleanSupplier room) {
         this.vertx = vertx;
@@ -135,6 +138,11 @@
         return connections;
     }
 
+    /** Connections closed in this turn of the loop. */
+    public int closing() {
+        return closing;
+    }
+
     /** Writes the text to the server on a free connection, or on a new one; the limit is in tenths of a ms. */
     public void send(OpId op, ServerId id, long limit, Text text, Ear ear) {
         Server s = servers.computeIfAbsent(id, Server::new);
@@ -150,8 +158,19 @@
             return;
         }
         s.waiting.add(x);
-        if (!open(s, x)) {
+        openOrWait(s, x, OPEN_TRIES);
+    }
+
+    /** Opens a connection, perhaps once others have given back their descriptors; a free one may come first. */
+    private void openOrWait(Server s, Sending x, int tries) {
+        if (x.over || x.on != null || open(s, x)) {
+            return;
+        }
+        if (tries == 0 || s.address == null) {
+            log.often("no room for a connection", "to server " + s.id.text() + ", " + connections + " to servers");
             x.end(Ending.NEVER_SENT, null, null, null);
+        } else {
+            vertx.setTimer(OPEN_AGAIN_MS, y -> openOrWait(s, x, tries - 1));
         }
     }
 
@@ -253,7 +272,6 @@
 
     private boolean open(Server s, Sending opener) {
         if (s.address == null || !room.getAsBoolean()) {
-            log.often("no room for a connection", "to server " + s.id.text() + ", " + connections + " to servers");
             return false;
         }
         new Connection(s, opener).open();
@@ -460,6 +478,8 @@
             if (!closed) {
                 closed = true;
                 connections--;
+                closing++;
+                vertx.setTimer(1, x -> closing--);
                 vertx.cancelTimer(openTimer);
                 server.free.remove(this);
                 idle.remove(this);
--- a/src/test/java/ploverdale/GatewayTest.java
+++ b/src/test/java/ploverdale/GatewayTest.java
@@ -397,6 +397,26 @@
         }
     }
 
+    @Test
+    void opsThatFindNoDescriptorWaitAMomentForOne() throws Exception {
+        try (Net net = new Net("p").started(64, 30_000).readable()) { // 40 connections, and 8 more that may cross
+            net.servers.get("p").value = new byte[60_000];
+            List<Client> all = new ArrayList<>();
+            for (int i = 0; i < 45; i++) {
+                all.add(new Client(net.gateway.port()).write(ploverdale.net.PgCodec.hello()));
+            }
+            for (Client c : all) {
+                assertThat(c.answer()).isEqualTo("ready");
+            }
+            for (Client c : all.subList(30, 45)) {
+                c.ask(net.op("page"));
+            }
+            for (Client c : all.subList(30, 45)) {
+                assertThat(c.answer()).as(net::log).startsWith("row ");
+            }
+        }
+    }
+
     @Test
     void aPlannedRestartServesOnAnswersAllAndEnds() throws Exception {
         try (Net net = new Net("p", "r1").started().readable()) {
