Shares of descriptors in a class without I/O; who does nothing makes way for who asks

Lines: ClientSide.look ended idle ones only after 2.1 s, Gateway.makeRoom gave both sides one budget. Now ploverdale.room.Room keeps the shares (clients 7 of 10, strangers a third of that, servers the rest and what is left over) and names who makes way: a silent one first, then the longest idle, never one with an op in hand.

--- /dev/null
+++ b/src/main/java/ploverdale/handover/Departure.java
@@ -0,0 +1,59 @@
+package ploverdale.handover;
+
+/**
+ * The course of one planned restart. A gateway that leaves serves on for as long as it is asked: those who are connected
+ * may have nowhere else to go. Once hardly anyone asks any more, each further moment is one without the gateway that comes
+ * after it, so it ends at once. Times in milliseconds from the word to leave.
+ */
+public final class Departure {
+    /** What to do now: serve on, end connections that wait for nothing, or stop. */
+    public enum Step { SERVES, ENDS, OVER }
+
+    private static final long STILL_ARRIVING_MS = 500; // new connections are served as before
+    private static final long ENDING_TAKES_MS = 1200; // for ops in hand, many times what one usually takes
+    private static final long SPARE_MS = 100; // to exit
+    private static final double HARDLY_ANYONE = 0.1; // of the ops a second before
+    private static final double LOOKS_BACK_MS = 150;
+    private static final double LOOKS_BACK_OPS = 5; // where few ask, further back
+
+    private final long endsBy;
+    private final long overBy;
+    private final double before;
+    private final Traffic lately;
+
+    /**
+     * @param killedAfterMs when the platform ends the process, whatever it does
+     * @param opsPerSecond asked lately
+     */
+    public Departure(long killedAfterMs, double opsPerSecond) {
+        endsBy = Math.max(STILL_ARRIVING_MS, killedAfterMs - ENDING_TAKES_MS);
+        overBy = killedAfterMs - SPARE_MS;
+        before = opsPerSecond;
+        lately = new Traffic(Math.max(LOOKS_BACK_MS, before > 0 ? LOOKS_BACK_OPS * 1000 / before : 0));
+        lately.startAt(before, 0);
+    }
+
+    /** The latest time at which it begins to end connections. */
+    public long endsBy() {
+        return endsBy;
+    }
+
+    /** An op has come. */
+    public void asked(long ms) {
+        lately.op(ms);
+    }
+
+    /** What to do; asked every few milliseconds. Clients are those that have greeted. */
+    public Step at(long ms, int clients, int opsInHand) {
+        if (ms >= overBy) {
+            return Step.OVER;
+        }
+        if (ms < STILL_ARRIVING_MS) {
+            return Step.SERVES;
+        }
+        if (clients == 0 && opsInHand == 0) {
+            return Step.OVER;
+        }
+        return ms >= endsBy || lately.perSecond(ms) <= HARDLY_ANYONE * before ? Step.ENDS : Step.SERVES;
+    }
+}
--- a/src/main/java/ploverdale/net/ClientSide.java
+++ b/src/main/java/ploverdale/net/ClientSide.java
@@ -11,7 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import ploverdale.handover.Traffic;
 import ploverdale.log.Log;
 import ploverdale.model.GroupId;
 import ploverdale.model.Happening;
@@ -21,6 +22,7 @@
 import ploverdale.model.SessionId;
 import ploverdale.model.TenantId;
 import ploverdale.net.LogicLoop.Clock;
+import ploverdale.room.Room;
 import ploverdale.terms.Terms;
 
 /**
@@ -30,11 +32,9 @@
  */
 public final class ClientSide {
     private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
-    private static final long UNFINISHED_MS = 2200; // for a greeting or a message to be whole; the platform waits 3 s
-    private static final long IDLE_MS = 2100; // after which a connection may be ended; the platform grants 2 s
-    private static final long MOMENT_MS = 100; // so that a client that has just been let in may ask
-    private static final int CROWDED_PART = 5; // of the descriptors; clients may hold a third
-    private static final long LOOK_MS = 100;
+    private static final long LOOK_MS = 20;
+    private static final long SILENT_MS = 20; // for a greeting, once the gateway ends connections
+    private static final double TRAFFIC_FADES_MS = 1000;
     private static final long LOAD_MOST = 16 * 1024 * 1024; // see makeLighter
     private static final long UNREAD_MS = 5000; // for a client to read on, before it is closed
 
@@ -72,55 +72,60 @@
     private final Log log;
     private final LogicLoop loop;
     private final Terms terms;
-    private final BooleanSupplier room;
-    private final int crowded;
+    private final Room<Session> room;
+    private final Traffic traffic = new Traffic(TRAFFIC_FADES_MS);
     private final Map<OpId, Taken> taken = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
-    private final Set<Session> idle = new LinkedHashSet<>(); // longest first
     private final List<Session> early = new ArrayList<>(); // asked before the module was told what it needs
-    private final Set<Session> ungreeted = new LinkedHashSet<>(); // longest first
-    private final Set<Session> unfinished = new LinkedHashSet<>(); // with part of a message, longest first
     private final Set<Session> heldBack = new LinkedHashSet<>(); // until the load is less
     private long load; // bytes of ops in hand, of messages not yet whole and of answers not yet read
-    private int closing;
+    private LongConsumer asked = x -> { };
     private boolean ready;
     private boolean ending;
     private long answersBy = Long.MAX_VALUE;
 
-    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, int sockets, BooleanSupplier room) {
+    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, Room<Session> room) {
         this.vertx = vertx;
         this.log = log;
         this.loop = loop;
         this.terms = terms;
         this.room = room;
-        crowded = sockets / CROWDED_PART;
         vertx.setPeriodic(LOOK_MS, x -> look());
     }
 
-    /**
-     * Guards against clients that hold connections and do nothing with them: what they began ends in time, and where
-     * connections are many, those that have been idle longest make room for clients that find none.
-     */
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** Ends what the room says is to end by now. */
     private void look() {
-        long now = System.nanoTime() / 1_000_000;
-        endOld(ungreeted, now - UNFINISHED_MS, "client without a greeting");
-        endOld(unfinished, now - UNFINISHED_MS, "client with an unfinished message");
-        while (sessions.size() > crowded && closeLongestIdle(true)) {
-            continue;
+        for (Room.Leave<Session> l = room.overdue(nowMs()); l != null; l = room.overdue(nowMs())) {
+            end(l);
+        }
+        for (Room.Leave<Session> l = ending ? room.silentFor(SILENT_MS, nowMs()) : null; l != null;
+                l = room.silentFor(SILENT_MS, nowMs())) {
+            end(l);
         }
     }
 
-    private void endOld(Set<Session> all, long before, String what) {
-        while (!all.isEmpty() && all.iterator().next().since < before) {
-            log.often(what, "closed after " + UNFINISHED_MS + " ms");
-            all.iterator().next().giveUp(what);
+    /** Ends a connection that is to make way: one that began something is told so, an idle one is closed. */
+    public void end(Room.Leave<Session> l) {
+        if (l.why() == Room.Why.IDLE) {
+            l.who().close();
+            return;
         }
+        String what = l.why() == Room.Why.NO_GREETING ? "client without a greeting" : "client with an unfinished message";
+        log.often(what, "closed after " + l.sinceMs() + " ms, " + room.clients() + " of clients");
+        l.who().giveUp(what);
     }
 
-    /** Takes in a connection, or turns it away where there is no room for one. */
+    /** Takes in a connection, in place of one that does nothing where there are many, or turns it away. */
     public void accept(NetSocket socket) {
-        if (!room.getAsBoolean()) {
-            log.often("no room for a connection", "of a client, " + sessions.size() + " of clients");
+        Room.Leave<Session> way = room.clientFits() ? null : room.wayForClient(nowMs());
+        if (way != null) {
+            end(way);
+        } else if (!room.clientFits()) {
+            log.often("no room for a connection", "of a client, " + room.clients() + " of clients");
             socket.exceptionHandler(e -> { });
             socket.write(PgCodec.problem("53300", "too many connections", null, true, false));
             socket.close();
@@ -140,19 +145,19 @@
         return sessions.size();
     }
 
-    /** Connections closed in this turn of the loop. */
-    public int closing() {
-        return closing;
+    /** Connections that have greeted. */
+    public int greeted() {
+        return sessions.size() - room.strangers();
     }
 
-    /** Closes the connection that has been idle longest if that is long, or at least a moment; false where none is. */
-    public boolean closeLongestIdle(boolean ifLong) {
-        Session s = idle.isEmpty() ? null : idle.iterator().next();
-        if (s == null || s.since > System.nanoTime() / 1_000_000 - (ifLong ? IDLE_MS : MOMENT_MS)) {
-            return false;
-        }
-        s.close();
-        return true;
+    /** Ops a second, lately. */
+    public double opsPerSecond() {
+        return traffic.perSecond(nowMs());
+    }
+
+    /** Tells of each op from now on. */
+    public void whenAsked(LongConsumer hears) {
+        asked = hears;
     }
 
     public int opsInHand() {
@@ -175,7 +180,9 @@
             log.line("planned restart: idle connections end, " + sessions.size() + " connections");
         }
         ending = true;
-        List.copyOf(idle).forEach(Session::endIfDone);
+        List<Session> idle = new ArrayList<>();
+        room.allIdle().forEach(idle::add);
+        idle.forEach(Session::endIfDone);
     }
 
     public void acked(OpId op, PgCodec.Row row) {
@@ -197,10 +204,10 @@
      * lose their connections, after the answers to what came before it; if that is not enough, no more is read for now.
      */
     private void makeLighter() {
-        while (load >= LOAD_MOST && !unfinished.isEmpty()) {
-            Session s = unfinished.iterator().next();
+        while (load >= LOAD_MOST && room.longestUnfinished() != null) {
+            Session s = room.longestUnfinished();
             log.often("too much unfinished", "given up with " + s.partial + " bytes, " + load + " held in all");
-            s.giveUp("too much unfinished");
+            s.giveUp("too much is unfinished here");
         }
     }
 
@@ -223,11 +230,10 @@
     }
 
     /** One client's connection. */
-    private final class Session {
+    public final class Session {
         private final NetSocket socket;
         private final PgCodec.ClientStream stream = new PgCodec.ClientStream();
         private final Deque<Slot> slots = new ArrayDeque<>();
-        private long since = System.nanoTime() / 1_000_000; // it connected, or its message began, or it has been idle
         private boolean closed;
         private boolean deaf;
         private boolean paused;
@@ -237,12 +243,12 @@
         private int partial;
         private long unreadBytes;
 
-        Session(NetSocket socket) {
+        private Session(NetSocket socket) {
             this.socket = socket;
             socket.handler(this::bytes);
             socket.closeHandler(x -> gone());
             socket.exceptionHandler(e -> log.often("client connection", String.valueOf(e.getMessage())));
-            ungreeted.add(this);
+            room.came(this, nowMs());
         }
 
         private void bytes(Buffer more) {
@@ -275,11 +281,10 @@
                 partial = stream.held();
                 boolean begun = part && partial > 0 && stream.greeted(); // not what waits here for answers before it
                 if (!begun || cut) {
-                    unfinished.remove(this);
+                    room.whole(this);
                 }
-                if (begun && unfinished.add(this)) {
-                    since = System.nanoTime() / 1_000_000;
-                    idle.remove(this);
+                if (begun) {
+                    room.begun(this, nowMs());
                 }
                 makeLighter();
                 flow();
@@ -300,7 +305,7 @@
             } else if (m instanceof PgCodec.OpAsk ask && !skipping) {
                 op(ask);
             } else if (m instanceof PgCodec.Hello) {
-                ungreeted.remove(this);
+                room.greeted(this);
                 put(PgCodec.welcome());
             } else if (m instanceof PgCodec.WantsCover) {
                 put(Buffer.buffer("N"));
@@ -321,18 +326,22 @@
 
         /** Ends with what it began; ops taken before that are answered first. */
         private void giveUp(String why) {
-            ungreeted.remove(this);
-            unfinished.remove(this);
+            room.greeted(this); // no stranger any more, since it is being answered
+            room.whole(this);
             stream.clear();
             lighter(partial);
             partial = 0;
-            bad("08P01", why, true);
+            refuse("08P01", why, true);
         }
 
         private void bad(String code, String text, boolean ends) {
             if (ready) {
                 log.often("bad input from a client", code + " " + text);
             }
+            refuse(code, text, ends);
+        }
+
+        private void refuse(String code, String text, boolean ends) {
             deaf |= ends;
             Slot slot = new Slot();
             slot.answer = PgCodec.problem(code, text, null, ends, !ends);
@@ -360,7 +369,9 @@
                 bad("42710", "the id of an op still in hand", false);
                 return;
             }
-            idle.remove(this);
+            room.asks(this);
+            traffic.op(nowMs());
+            asked.accept(nowMs());
             Slot slot = new Slot();
             slot.op = op;
             slots.add(slot);
@@ -389,10 +400,8 @@
                 }
             }
             if (!closed && slots.isEmpty()) {
-                if (!unfinished.contains(this)) {
-                    since = System.nanoTime() / 1_000_000;
-                    idle.remove(this);
-                    idle.add(this); // as the one that has been idle shortest
+                if (!room.isUnfinished(this)) {
+                    room.idle(this, nowMs());
                 }
                 if (ending) {
                     endIfDone();
@@ -454,18 +463,15 @@
                 return;
             }
             closed = true;
-            closing++;
-            vertx.setTimer(1, x -> closing--);
+            room.left(this);
+            vertx.setTimer(1, x -> room.closed());
             stream.clear(); // what refers to an ended session must not keep its bytes
             lighter(partial + unreadBytes);
             partial = 0;
             unreadBytes = 0;
             heldBack.remove(this);
-            unfinished.remove(this);
-            ungreeted.remove(this);
             early.remove(this);
             sessions.remove(this);
-            idle.remove(this);
             for (Slot s : slots) {
                 if (s.op != null && s.answer == null) {
                     lighter(taken.remove(s.op).ask.text().length);
--- a/src/main/java/ploverdale/net/Gateway.java
+++ b/src/main/java/ploverdale/net/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
+import ploverdale.handover.Departure;
 import ploverdale.log.Log;
 import ploverdale.model.Action;
 import ploverdale.model.Happening;
@@ -21,6 +22,7 @@
 import ploverdale.model.OpType;
 import ploverdale.model.ServerId;
 import ploverdale.net.GatewayFile.ServerList;
+import ploverdale.room.Room;
 
 /**
  * Owns the parts of one gateway: starts them in order, passes each action of the module to the part that carries
@@ -28,16 +30,13 @@
  * server, nor stop while an op taken in time has no answer.
  */
 public final class Gateway implements LogicLoop.Hands {
-    private static final long STILL_ARRIVING_MS = 500; // after SIGTERM; new connections are served as before
-    private static final int CROSSING_PART = 3; // of the spare ones, for connections that open as others close
     private static final int CALM_LOOKS = 5; // at the clock, with the loop on time, before service begins
     private static final int CALM_MOST = 50;
     private static final long START_LOOK_MS = 10;
     private static final long LOOK_MS = 20;
     private static final long LONGEST_COUNTED_MS = 3000; // the platform kills no earlier than after the longest op timeout,
     private static final long KILLED_AFTER_MS = 700; // counted up to this, and this much more
-    private static final long ENDING_TAKES_MS = 1200; // for ops in hand, many times what one usually takes
-    private static final long SPARE_MS = 200; // of that for answers to be written, and half of it to exit
+    private static final long SPARE_MS = 200; // of that for answers to be written
 
     private final Vertx vertx;
     private final Log log;
@@ -46,7 +45,7 @@
     private final ClientSide clients;
     private final ServerSide servers;
     private final Discovery discovery;
-    private int room;
+    private final Room<ClientSide.Session> room;
     private int probesOut;
     private NetServer server; // held, since one that nobody holds may be closed
 
@@ -54,22 +53,13 @@
         this.vertx = vertx;
         this.log = log;
         this.file = file;
-        room = room(file);
+        room = new Room<>(file.sockets());
         loop = new LogicLoop(vertx, context, log, this);
-        clients = new ClientSide(vertx, log, loop, file.terms(), file.sockets(), () -> makeRoom(true));
-        servers = new ServerSide(vertx, log, file.terms(), () -> makeRoom(false));
+        clients = new ClientSide(vertx, log, loop, file.terms(), room);
+        servers = new ServerSide(vertx, log, file.terms(), room, this::makeRoom);
         discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
     }
 
-    /** What connections may take; the rest is for the program's own files, discovery, crossing closes. */
-    private static int room(GatewayFile file) {
-        return file.sockets() - spare(file);
-    }
-
-    private static int spare(GatewayFile file) {
-        return Math.max(24, file.sockets() / 8);
-    }
-
     /** One event loop for all; nothing looked up by name, no files kept. */
     public static Vertx vertx() {
         System.setProperty("vertx.disableDnsResolver", "true");
@@ -130,18 +120,17 @@
         }
     }
 
-    /**
-     * Room for one more connection, to a server or (accepted already) of a client: clients that have long been idle make
-     * way, then the longest idle. Guards against running out of descriptors when many ops are released at once, after
-     * which no client is accepted for a second: one that is closed gives its descriptor back a turn of the loop later.
-     */
-    private boolean makeRoom(boolean accepted) {
-        while (clients.sessions() + servers.connections() >= room && (clients.closeLongestIdle(true)
-                || servers.closeLongestIdle() || clients.closeLongestIdle(false))) {
-            continue;
+    /** Has ended what the room says makes way for one more connection to a server; false where none may be opened yet. */
+    private boolean makeRoom() {
+        while (!room.serverFits()) {
+            Room.Leave<ClientSide.Session> way = room.wayForServer(System.nanoTime() / 1_000_000);
+            if (way != null) {
+                clients.end(way);
+            } else if (!servers.closeLongestIdle()) {
+                break;
+            }
         }
-        int closing = accepted ? 0 : clients.closing() + servers.closing();
-        return clients.sessions() + servers.connections() + closing < room + spare(file) / CROSSING_PART;
+        return room.mayOpen();
     }
 
     /** Where it listens. */
@@ -217,27 +206,27 @@
     }
 
     /**
-     * Planned restart. Guards against time without service: goes on serving those that are connected for as long as the
-     * platform leaves it to run, then ends idle connections and the others after their answers, and stops when none is
-     * left. An op taken on the way is to be answered before the end, whatever its own op timeout.
+     * Planned restart, in the steps of {@link Departure}. An op taken on the way is to be answered before the end, whatever
+     * its own op timeout.
      */
     public void endPlanned(CountDownLatch done) {
         long longest = file.terms().started().opTypes().stream().mapToLong(OpType::opTimeout).max().orElse(0) / 10;
         long killed = Math.min(longest, LONGEST_COUNTED_MS) + KILLED_AFTER_MS;
-        long ends = Math.max(STILL_ARRIVING_MS, killed - ENDING_TAKES_MS);
-        long began = System.nanoTime();
+        long began = System.nanoTime() / 1_000_000;
+        Departure departure = new Departure(killed, clients.opsPerSecond());
         log.line("planned restart: " + clients.sessions() + " connections, " + clients.opsInHand()
-                + " ops in hand, serves on for " + ends + " ms");
+                + " ops in hand, serves on for " + departure.endsBy() + " ms or until few ask");
         clients.answerAllBy(LogicLoop.Clock.now() + (killed - SPARE_MS) * 10);
+        clients.whenAsked(now -> departure.asked(now - began));
         vertx.setPeriodic(LOOK_MS, x -> {
-            long passed = (System.nanoTime() - began) / 1_000_000;
-            if (passed >= ends) {
-                clients.endIdle();
-            }
-            boolean over = passed >= killed - SPARE_MS / 2;
-            if (passed >= STILL_ARRIVING_MS + LOOK_MS && clients.sessions() == 0 || over) {
-                log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered");
-                done.countDown();
+            long passed = System.nanoTime() / 1_000_000 - began;
+            switch (departure.at(passed, clients.greeted(), clients.opsInHand())) {
+                case ENDS -> clients.endIdle();
+                case OVER -> {
+                    log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered");
+                    done.countDown();
+                }
+                default -> { }
             }
         });
     }
@@ -257,7 +246,7 @@
         runOnLoop(() -> {
             GatewayFile was = file;
             file = next;
-            room = room(next);
+            room.renew(next.sockets());
             boolean kept = next.listen().equals(was.listen())
                     && next.terms().started().opTypes().equals(was.terms().started().opTypes());
             log.line("new configuration: discovery at " + next.discovery().getAddress().getHostAddress() + ":"
--- a/src/main/java/ploverdale/net/ServerSide.java
+++ b/src/main/java/ploverdale/net/ServerSide.java
@@ -24,6 +24,7 @@
 import ploverdale.model.Telling;
 import ploverdale.model.Telling.Role;
 import ploverdale.net.LogicLoop.Clock;
+import ploverdale.room.Room;
 import ploverdale.terms.Terms;
 
 /**
@@ -59,20 +60,20 @@
     private final Vertx vertx;
     private final Log log;
     private final Terms terms;
-    private final BooleanSupplier room;
+    private final Room<?> room;
+    private final BooleanSupplier makeRoom;
     private final NetClient net;
     private final Map<ServerId, Server> servers = new HashMap<>();
     private final Map<OpId, Sending> byOp = new HashMap<>();
     private final Set<Connection> idle = new LinkedHashSet<>(); // longest first
     private final Losses losses = new Losses();
-    private int connections;
-    private int closing;
 
-    public ServerSide(Vertx vertx, Log log, Terms terms, BooleanSupplier room) {
+    public ServerSide(Vertx vertx, Log log, Terms terms, Room<?> room, BooleanSupplier makeRoom) {
         this.vertx = vertx;
         this.log = log;
         this.terms = terms;
         this.room = room;
+        this.makeRoom = makeRoom;
         net = vertx.createNetClient(new NetClientOptions().setConnectTimeout((int) ((terms.connectLimit() + 9) / 10))
                 .setReconnectAttempts(0).setTcpNoDelay(true));
         vertx.setPeriodic(Math.max(10, terms.idleLimit() / 10 / LOOKS), x -> closeOld());
@@ -134,15 +135,6 @@
         }
     }
 
-    public int connections() {
-        return connections;
-    }
-
-    /** Connections closed in this turn of the loop. */
-    public int closing() {
-        return closing;
-    }
-
     /** Writes the text to the server on a free connection, or on a new one; the limit is in tenths of a ms. */
     public void send(OpId op, ServerId id, long limit, Text text, Ear ear) {
         Server s = servers.computeIfAbsent(id, Server::new);
@@ -167,7 +159,7 @@
             return;
         }
         if (tries == 0 || s.address == null) {
-            log.often("no room for a connection", "to server " + s.id.text() + ", " + connections + " to servers");
+            log.often("no room for a connection", "to server " + s.id.text() + ", " + room.servers() + " to servers");
             x.end(Ending.NEVER_SENT, null, null, null);
         } else {
             vertx.setTimer(OPEN_AGAIN_MS, y -> openOrWait(s, x, tries - 1));
@@ -271,7 +263,7 @@
     }
 
     private boolean open(Server s, Sending opener) {
-        if (s.address == null || !room.getAsBoolean()) {
+        if (s.address == null || !makeRoom.getAsBoolean()) {
             return false;
         }
         new Connection(s, opener).open();
@@ -304,7 +296,7 @@
             this.server = server;
             this.address = server.address;
             this.opener = opener;
-            connections++;
+            room.opened();
         }
 
         private void open() {
@@ -477,9 +469,8 @@
         private void close() {
             if (!closed) {
                 closed = true;
-                connections--;
-                closing++;
-                vertx.setTimer(1, x -> closing--);
+                room.released();
+                vertx.setTimer(1, x -> room.closed());
                 vertx.cancelTimer(openTimer);
                 server.free.remove(this);
                 idle.remove(this);
