--- a/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -3,6 +3,8 @@
 import java.util.*;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import ploverdale.hearsay.Hearsay;
+import ploverdale.hearsay.Word;
 import ploverdale.model.*;
 import ploverdale.model.Happening.Ending;
 import ploverdale.model.OpType.Needs;
@@ -25,6 +27,7 @@
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
 
     private RandomGenerator chance;
+    private Hearsay hearsay; // null where gateways tell each other nothing
     private double firstLimit, leastLimit;
     private List<OpType> opTypes;
     private double beyondShareValue;
@@ -65,6 +68,10 @@
             listTold(l);
         } else if (h instanceof Happening.ClientLeft c && ops.containsKey(c.op())) {
             callOff(ops.remove(c.op()));
+        } else if (h instanceof Happening.PeerMessage p && hearsay != null) {
+            heard(p);
+        } else if (h instanceof Happening.Leaving && hearsay != null) {
+            tell(hearsay.leaves(now));
         } else if (h instanceof Happening.Started s) {
             started(s);
         }
@@ -93,6 +100,12 @@
             }
         }
         askListAt = s.listOnDemand() ? now : Long.MAX_VALUE;
+        if (permits.peerMessages() && gateways > 1) {
+            double ops = s.tenants().stream().mapToDouble(Tenant::opsPerSecond).sum();
+            hearsay = new Hearsay(s.me(), gateways, ops, tightestBound, new SplittableRandom(~s.seed()),
+                    id -> word(members.get(id)));
+            hearsay.starts(now);
+        }
         beat();
     }
 
@@ -115,7 +128,13 @@
             }
             missing.remove(m);
             m.zone = l.zone();
-            stage(m, l.stage());
+            if (hearsay != null && l.stage() != Listing.Stage.GONE) {
+                hearsay.listed(m.id);
+            }
+            m.listed = l.stage();
+            m.drainTold = l.stage() == Listing.Stage.DRAINING ? now : m.drainTold;
+            // Guards against a list that does not know yet of a drain heard elsewhere: it does not undo it.
+            stage(m, heardOfDrain(m) && l.startedAt() <= m.startedAt ? m.stage : l.stage());
             if (l.primary() && m.group.primary == null && m.role == Role.UNKNOWN && m.isIn()) {
                 m.group.primary = m; // a hint, until the member itself is heard
             }
@@ -128,6 +147,11 @@
         missing.forEach(m -> stage(m, Listing.Stage.GONE));
     }
 
+    private boolean heardOfDrain(Member m) {
+        return m.stage == Listing.Stage.DRAINING && m.listed == Listing.Stage.IN
+                && now - m.drainTold < DRAIN_HEARD_LASTS;
+    }
+
     private void stage(Member m, Listing.Stage stage) {
         m.drainSeen |= stage == Listing.Stage.DRAINING;
         boolean binds = stage != Listing.Stage.GONE || pledges.removalBinds() || m.drainSeen;
@@ -136,6 +160,9 @@
             m.drainSeen &= stage != Listing.Stage.IN;
             log("server " + m.id.text() + " listed " + stage);
         }
+        if (hearsay != null && m.stage == Listing.Stage.GONE) {
+            hearsay.forget(m.id);
+        }
     }
 
     private void arrived(Happening.OpArrived a) {
@@ -148,6 +175,9 @@
         ops.put(a.op(), op);
         wakeIn(BEAT);
         groups.computeIfAbsent(a.group(), Group::new).askedAt = now;
+        if (hearsay != null) {
+            hearsay.op();
+        }
         resendsLeft = Math.min(SAVED_MOST, resendsLeft + RESENDS_PER_OP);
         probesLeft = Math.min(SAVED_MOST, probesLeft + PROBES_PER_OP);
         place(op);
@@ -394,6 +424,9 @@
         Op op = m.out.remove(e.op());
         learnRole(m, e.note(), now);
         learnReport(m, e.report());
+        if (hearsay != null && m.positionToldAt == now) {
+            hearsay.placed(now, m.id);
+        }
         if (op != null) {
             learnHealth(m, op, e);
         }
@@ -514,7 +547,7 @@
         m.probeOut = false;
         if (e.ending() == Ending.ACKED || e.ending() == Ending.FULL) {
             m.deadSigns = 0;
-            m.heardAt = now;
+            m.heardAt = m.aliveAt = now;
             if (m.refusesConnects && now - m.connectFailedAt < BRIEF) {
                 // Guards against servers that take few connections: idle ones are given up for others to use;
                 // a handshake costs less than an op that finds none.
@@ -578,7 +611,7 @@
             return; // an earlier look round made this one needless
         }
         nextBeat = Long.MAX_VALUE;
-        wakeIn(ops.isEmpty() ? IDLE_BEAT : BEAT);
+        wakeIn(ops.isEmpty() && (hearsay == null || !hearsay.wantsToTell(now)) ? IDLE_BEAT : BEAT);
         if (now >= askListAt) {
             out.add(new Action.FollowList());
             askListAt = Long.MAX_VALUE;
@@ -587,12 +620,18 @@
         long oldest = now - probeEvery;
         for (Member m : members.values()) {
             lookForSilence(m);
+            if (hearsay != null) {
+                hearsay.learnt(now, m.id);
+                if (m.stage == Listing.Stage.DRAINING && m.listed == Listing.Stage.IN && !heardOfDrain(m)) {
+                    stage(m, Listing.Stage.IN); // no list knew of that drain
+                }
+            }
             boolean inUse = m.isIn() && now - m.group.askedAt < probeEvery;
             if (inUse && !m.isPromising() && now >= m.retryAt) {
                 probe(m);
-            } else if (inUse && Math.max(m.probedAt, m.positionToldAt) <= oldest) {
+            } else if (inUse && Math.max(m.probedAt, toldAt(m)) <= oldest) {
                 due = m;
-                oldest = Math.max(m.probedAt, m.positionToldAt);
+                oldest = Math.max(m.probedAt, toldAt(m));
             }
         }
         if (due != null && probesLeft >= 1) {
@@ -600,6 +639,73 @@
             probe(due);
         }
         groups.values().forEach(this::release);
+        if (hearsay != null) {
+            tell(hearsay.due(now));
+        }
+    }
+
+    // -- What gateways tell each other; who is told what is decided in ploverdale.hearsay
+
+    private static final long DRAIN_HEARD_LASTS = 10_000 * MS; // longer than any list is late
+
+    /** A position heard from others that is still fresh saves a probe. */
+    private long toldAt(Member m) {
+        return hearsay == null ? m.positionToldAt : Math.max(m.positionToldAt, m.position + probeEvery);
+    }
+
+    private Word word(Member m) {
+        return new Word(m.role, m.role == Role.UNKNOWN ? Telling.UNTOLD : Math.min(now, m.roleToldAt),
+                m.position, m.positionToldAt, m.aliveAt, m.silentAt,
+                warmth(m) < 1 ? m.coldSince : Telling.UNTOLD,
+                m.stage == Listing.Stage.DRAINING ? m.drainTold : Telling.UNTOLD, m.stretch,
+                m.stretchAt == 0 ? Telling.UNTOLD : m.stretchAt, m.busy);
+    }
+
+    private void heard(Happening.PeerMessage p) {
+        Hearsay.Heard h = hearsay.hears(now, p.from(), p.bytes());
+        h.words().forEach((id, w) -> believe(members.get(id), w));
+        tell(h.letters());
+        if (h.line() != null) {
+            log(h.line());
+        }
+    }
+
+    /** Own words win over others as old; nothing gets newer than it was at its source. */
+    private void believe(Member m, Word w) {
+        if (w.drainAt() > m.drainTold && m.isIn()) {
+            m.drainTold = w.drainAt();
+            stage(m, now - w.drainAt() < DRAIN_HEARD_LASTS ? Listing.Stage.DRAINING : m.stage);
+        }
+        m.coldSince = Math.max(m.coldSince, w.coldSince());
+        m.busy = w.positionAt() > m.positionToldAt && !Double.isNaN(w.busy()) ? w.busy() : m.busy;
+        m.position = Math.max(m.position, w.position());
+        m.positionToldAt = Math.max(m.positionToldAt, w.positionAt());
+        if (w.slowAt() > m.stretchAt) {
+            m.stretch = w.slow();
+            m.stretchAt = w.slowAt();
+        }
+        m.silentAt = Math.max(m.silentAt, w.silentAt());
+        m.aliveAt = Math.max(m.aliveAt, w.aliveAt());
+        if (w.silentAt() > m.aliveAt) {
+            m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1); // a probe tells, before the next op there
+            m.retryAt = Math.max(m.retryAt, m.aliveAt == Telling.UNTOLD ? w.silentAt() + PENALTY_MOST : 0);
+        } else if (w.aliveAt() > m.heardAt && w.aliveAt() > m.connectFailedAt && !m.silent) {
+            m.heardAt = w.aliveAt();
+        }
+        if (w.roleAt() > m.roleToldAt) {
+            learnRole(m, new Telling(w.role(), Telling.UNTOLD), w.roleAt());
+        }
+        release(m.group);
+    }
+
+    private void proved(Member m, Op op, boolean right) {
+        if (hearsay != null && op.type.needs() == Needs.WRITE) {
+            hearsay.proved(now, m.id, right);
+        }
+    }
+
+    private void tell(List<Hearsay.Letter> letters) {
+        letters.forEach(l -> out.add(new Action.Tell(l.peer(), l.bytes())));
     }
 
     // -- Health
@@ -622,7 +728,7 @@
     private void learnHealth(Member m, Op op, Happening.SendEnded e) {
         Ending ending = e.ending();
         if (ending == Ending.NOT_CONNECTED) {
-            // Guards against networks that reset by chance: refusals in a row, or slow ones, are the server's.
+            // Guards against networks that reset by chance: refusals in a row or slow ones are the server's.
             m.refusesConnects = e.took() < PATIENCE && now - m.connectFailedAt < BRIEF / 3;
             m.connectFailedAt = now;
             m.cutAt = m.refusesConnects || e.took() >= PATIENCE ? now : m.cutAt;
@@ -631,7 +737,7 @@
             m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1); // dead, or no room; a probe tells
             probe(m);
         } else if (ending.byServer) {
-            m.answeredAt = m.heardAt = now;
+            m.answeredAt = m.heardAt = m.aliveAt = now;
             m.deadSigns = 0;
             if (m.silent && m.failShare < FAIL_SHARE) {
                 returns(m, true, "answers");
@@ -642,6 +748,7 @@
         }
         switch (ending) {
             case ACKED -> {
+                proved(m, op, true);
                 m.missedInARow = 0;
                 m.takenWork = takenWork(m) + op.pace.usual;
                 m.lostShare *= 1 - NEWEST;
@@ -668,6 +775,7 @@
             }
             case TURNED_AWAY -> {
                 m.turnedAwayAt = now;
+                proved(m, op, false);
                 if (op.type.needs() == Needs.WRITE) {
                     // Guards against one that hands over: it turns writes away and still signs as primary.
                     learnRole(m, new Telling(Role.REPLICA, Telling.UNTOLD), now + ASK_AGAIN);
@@ -719,7 +827,7 @@
         if (!m.silent) {
             log("server " + m.id.text() + " silent: " + why);
             m.silent = true;
-            m.silentSince = now;
+            m.silentSince = m.silentAt = now;
             m.penalty = neverThere(m) ? PENALTY_MOST
                     : now - m.returnedAt < BRIEF ? Math.min(PENALTY_MOST, m.penalty * 2) : PENALTY_FIRST;
             m.retryAt = now + m.penalty;
--- a/src/main/java/ploverdale/benchlink/BenchLink.java
+++ b/gateway/src/main/java/ploverdale/benchlink/BenchLink.java
@@ -128,7 +128,7 @@
             case "VANISHED" -> new Happening.ClientLeft(new OpId(f.text("ref")));
             case "ALARM" -> new Happening.WakeUp(f.whole("tag"));
             case "PING_RESULT" -> reader.probeEnded(f);
-            default -> new Happening.PeerMessage((int) f.whole("from"), f.text("body"));
+            default -> new Happening.PeerMessage((int) f.whole("from"), Reader.bytes(f.text("body")));
         };
     }
 
--- a/src/main/java/ploverdale/benchlink/Reader.java
+++ b/gateway/src/main/java/ploverdale/benchlink/Reader.java
@@ -1,6 +1,7 @@
 package ploverdale.benchlink;
 
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import ploverdale.model.GroupId;
 import ploverdale.model.Happening;
@@ -111,6 +112,14 @@
         return new Happening.ProbeEnded(new ServerId(f.text("server")), ending(f.text("verdict")), report(f));
     }
 
+    static byte[] bytes(String hex) {
+        try {
+            return HexFormat.of().parseHex(hex);
+        } catch (IllegalArgumentException e) {
+            throw new Unreadable("DATAGRAM with a field body that is not hexadecimal");
+        }
+    }
+
     private Telling report(Fields f) {
         List<Object> row = f.list("healthInfo");
         if (row.isEmpty()) {
--- a/src/main/java/ploverdale/benchlink/Writer.java
+++ b/gateway/src/main/java/ploverdale/benchlink/Writer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.util.HexFormat;
 import ploverdale.model.Action;
 
 /** Writes actions as the wire words them. */
@@ -38,6 +39,10 @@
         } else if (action instanceof Action.FollowList) {
             open(g, "KEEP_INFORMED", gateway);
             g.writeBooleanField("enable", true);
+        } else if (action instanceof Action.Tell a) {
+            open(g, "BROADCAST_TO", gateway);
+            g.writeNumberField("whom", a.peer());
+            g.writeStringField("body", HexFormat.of().formatHex(a.bytes()));
         } else if (action instanceof Action.LogLine a) {
             open(g, "REMARK", gateway);
             g.writeStringField("text", a.text());
--- /dev/null
+++ b/gateway/src/main/java/ploverdale/hearsay/Rota.java
@@ -0,0 +1,138 @@
+package ploverdale.hearsay;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ploverdale.hearsay.Datagram.Kind;
+import ploverdale.hearsay.Hearsay.Letter;
+import ploverdale.model.ServerId;
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+
+/**
+ * How positions get round where each instance alone hears too few. One instance at a time collects: whose turn it is
+ * follows from the clock, so nobody is elected, and one that is dead costs its turn and no more. Each tells the collector
+ * the positions that its own answers brought; the collector sends all of them, a few bytes a server, to some, and each of
+ * these to its part of the others. Times in tenths of a millisecond.
+ */
+final class Rota {
+    private static final long MS = 10;
+    private static final long TURN = 2000 * MS;
+    private static final long EVERY = 250 * MS; // between two tellings; half of the tightest bound in use
+    private static final long UP_EVERY = 20 * MS;
+    static final long WITHIN = 400 * MS; // what is told was learnt so long ago at most
+    static final long UP_WITHIN = 60 * MS;
+    private static final long KNOWN_ANYWAY = 150 * MS; // told by the collector so lately: others tell it, too
+    private static final int DIRECTLY = 9; // others at most, whom a collector tells itself
+    private static final int PENDING_MOST = 55;
+
+    private record Place(long position, Role role, double busy, long at) {}
+
+    private final int me;
+    private final int instances;
+    private final Map<ServerId, Place> places = new LinkedHashMap<>();
+    private final Set<ServerId> pending = new LinkedHashSet<>();
+    private long upAt = Telling.UNTOLD;
+    private long toldAt = Telling.UNTOLD;
+
+    Rota(int me, int instances) {
+        this.me = me;
+        this.instances = instances;
+    }
+
+    int collector(long now) {
+        return (int) ((now / TURN * 0x9E3779B97F4A7C15L >>> 33) % instances);
+    }
+
+    /** An answer to this instance told a server's position. */
+    void placed(long now, ServerId id, Word w) {
+        Place was = places.get(id);
+        if (pending.size() < PENDING_MOST && (was == null || now - was.at > KNOWN_ANYWAY || collector(now) == me)) {
+            pending.add(id);
+        }
+        if (collector(now) == me) {
+            place(id, w, now);
+        }
+    }
+
+    /** Another instance told a server's position. */
+    void place(ServerId id, Word w, long at) {
+        if (w.position() != Telling.UNTOLD && w.role() != Role.UNKNOWN) {
+            Place p = places.get(id);
+            places.put(id, new Place(p == null ? w.position() : Math.max(p.position, w.position()), w.role(), w.busy(), at));
+        }
+    }
+
+    void forget(ServerId id) {
+        places.remove(id);
+        pending.remove(id);
+    }
+
+    /** What is to be sent by now; own gives what is known of a server here. */
+    List<Letter> due(long now, java.util.function.Function<ServerId, Word> own) {
+        if (collector(now) == me) {
+            pending.clear();
+            return now - toldAt < EVERY ? List.of() : tellAll(now);
+        }
+        if (pending.isEmpty() || now - upAt < UP_EVERY) {
+            return List.of();
+        }
+        Map<Integer, Word> words = new LinkedHashMap<>();
+        for (ServerId id : pending) {
+            Word w = own.apply(id);
+            if (now - w.positionAt() <= UP_WITHIN && w.role() != Role.UNKNOWN) {
+                words.put(Datagram.shortNumber(id), w);
+            }
+        }
+        pending.clear();
+        upAt = now;
+        return words.isEmpty() ? List.of()
+                : List.of(new Letter(collector(now), new Datagram(Kind.PLACES_UP, now, words).bytes()));
+    }
+
+    private List<Letter> tellAll(long now) {
+        Map<Integer, Word> words = new LinkedHashMap<>();
+        places.forEach((id, p) -> {
+            if (now - p.at <= WITHIN - UP_WITHIN && words.size() < Datagram.PLACES_MOST) {
+                words.put(Datagram.shortNumber(id), new Word(p.role, now, p.position, now, now, Telling.UNTOLD,
+                        Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD, p.busy));
+            }
+        });
+        toldAt = now;
+        List<Letter> letters = new ArrayList<>();
+        if (!words.isEmpty()) {
+            boolean directly = instances - 1 <= DIRECTLY;
+            byte[] bytes = new Datagram(directly ? Kind.PLACES : Kind.PLACES_ON, now, words).bytes();
+            for (int off = 1; off < instances; off += directly ? 1 : part()) {
+                letters.add(new Letter((me + off) % instances, bytes));
+            }
+        }
+        return letters;
+    }
+
+    /** How many hear of it through one that the collector tells, that one included. */
+    private int part() {
+        return (int) Math.ceil(Math.sqrt(instances - 1));
+    }
+
+    /** Tells on what the collector told this instance for its part of the others. */
+    List<Letter> tellOn(int collector, Datagram d) {
+        List<Letter> letters = new ArrayList<>();
+        int mine = Math.floorMod(me - collector, instances);
+        if ((mine - 1) % part() == 0) { // else it was not for this instance to tell on
+            byte[] bytes = new Datagram(Kind.PLACES, d.sentAt(), d.words()).bytes();
+            for (int off = mine + 1; off < Math.min(mine + part(), instances); off++) {
+                letters.add(new Letter((collector + off) % instances, bytes));
+            }
+        }
+        return letters;
+    }
+
+    /** Whether it is this instance's turn. */
+    boolean collects(long now) {
+        return collector(now) == me;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ploverdale/hearsay/Word.java
@@ -0,0 +1,95 @@
+package ploverdale.hearsay;
+
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+
+/**
+ * What is known of one server, each part with the time at which its source learnt it, in tenths of a millisecond of this
+ * instance's clock; {@link Telling#UNTOLD} where nothing is known.
+ *
+ * <p>Words make a join-semilattice: {@link #join} takes of each part the newest, so words may come in any order, twice, or
+ * not at all, and what comes out is the same picture or an older one, never a fresher one.
+ *
+ * @param role the part the server had in its group, told at roleAt
+ * @param position a log position the server had applied at least, told at positionAt
+ * @param aliveAt when it last answered anyone
+ * @param silentAt when somebody last found that it does not answer
+ * @param coldSince when it last began cold
+ * @param drainAt when it was listed as draining
+ * @param slow its latency as a multiple of the usual, at slowAt
+ * @param busy the busy part of its cores, told with the position; NaN where it was not told
+ */
+public record Word(Role role, long roleAt, long position, long positionAt, long aliveAt, long silentAt, long coldSince,
+        long drainAt, double slow, long slowAt, double busy) {
+
+    /** Nothing known. */
+    public static final Word NONE = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
+            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD, Double.NaN);
+
+    /** Both words in one. */
+    public Word join(Word o) {
+        boolean role = o.roleAt > roleAt || o.roleAt == roleAt && o.role.ordinal() > this.role.ordinal();
+        boolean slow = o.slowAt > slowAt || o.slowAt == slowAt && o.slow > this.slow;
+        boolean busy = o.positionAt > positionAt || o.positionAt == positionAt && Double.compare(this.busy, o.busy) < 0;
+        return new Word(role ? o.role : this.role, Math.max(roleAt, o.roleAt), Math.max(position, o.position),
+                Math.max(positionAt, o.positionAt), Math.max(aliveAt, o.aliveAt), Math.max(silentAt, o.silentAt),
+                Math.max(coldSince, o.coldSince), Math.max(drainAt, o.drainAt), slow ? o.slow : this.slow,
+                Math.max(slowAt, o.slowAt), busy ? o.busy : this.busy);
+    }
+
+    /** The same without what was learnt before a time, since it proves nothing any more; a drain and a cold start stay. */
+    public Word since(long time) {
+        boolean role = roleAt >= time;
+        boolean placed = positionAt >= time;
+        boolean slow = slowAt >= time;
+        return new Word(role ? this.role : Role.UNKNOWN, role ? roleAt : Telling.UNTOLD,
+                placed ? position : Telling.UNTOLD, placed ? positionAt : Telling.UNTOLD,
+                aliveAt >= time ? aliveAt : Telling.UNTOLD, silentAt >= time ? silentAt : Telling.UNTOLD, coldSince, drainAt,
+                slow ? this.slow : 1, slow ? slowAt : Telling.UNTOLD, placed ? busy : Double.NaN);
+    }
+
+    /** The same with nothing learnt after a time; for words of a clock that runs ahead. */
+    public Word notAfter(long time) {
+        return new Word(role, Math.min(roleAt, time), position, Math.min(positionAt, time), Math.min(aliveAt, time),
+                Math.min(silentAt, time), Math.min(coldSince, time), Math.min(drainAt, time), slow, Math.min(slowAt, time),
+                busy);
+    }
+
+    /** The same with a role that is not believed left out. */
+    public Word withoutRole() {
+        return new Word(Role.UNKNOWN, Telling.UNTOLD, position, positionAt, aliveAt, silentAt, coldSince, drainAt, slow,
+                slowAt, busy);
+    }
+
+    /** The same without how slow it is. */
+    public Word withoutSlow() {
+        return new Word(role, roleAt, position, positionAt, aliveAt, silentAt, coldSince, drainAt, 1, Telling.UNTOLD,
+                busy);
+    }
+
+    /** The same, its role told earlier by so much. */
+    public Word withRoleOlder(long by) {
+        return by == 0 || roleAt == Telling.UNTOLD ? this : new Word(role, roleAt - by, position, positionAt, aliveAt,
+                silentAt, coldSince, drainAt, slow, slowAt, busy);
+    }
+
+    /** Whether somebody found it silent and nobody has heard of it since. */
+    public boolean silent() {
+        return silentAt != Telling.UNTOLD && silentAt > aliveAt;
+    }
+
+    /**
+     * Whether this says something that others act on and that the older word did not: who leads, that a server went
+     * silent or answers again, drains, began cold, or became slower or faster by a good deal.
+     */
+    public boolean isNewsAfter(Word older) {
+        return role != Role.UNKNOWN && role != older.role && roleAt > older.roleAt
+                || silent() != older.silent() && Math.max(silentAt, aliveAt) > Math.max(older.silentAt, older.aliveAt)
+                || drainAt > older.drainAt && older.drainAt == Telling.UNTOLD
+                || coldSince > older.coldSince + SAME_START
+                || slowAt > older.slowAt && Math.abs(Math.log(slow / older.slow)) > SLOWER;
+    }
+
+    private static final long SAME_START = 20_000; // tenths of a ms; each instance sees a start at its own time
+    private static final double SLOWER = Math.log(1.6);
+}
--- a/src/main/java/ploverdale/model/Action.java
+++ b/gateway/src/main/java/ploverdale/model/Action.java
@@ -27,6 +27,9 @@
     /** Ask for changes of the list from now on. */
     record FollowList() implements Action {}
 
+    /** Send another gateway a message. */
+    record Tell(int peer, byte[] bytes) implements Action {}
+
     /** Write a line to the log. */
     record LogLine(String text) implements Action {}
 }
--- a/src/main/java/ploverdale/model/Happening.java
+++ b/gateway/src/main/java/ploverdale/model/Happening.java
@@ -5,10 +5,10 @@
 /** All that can happen to a gateway. Times in tenths of a millisecond. */
 public sealed interface Happening {
 
-    /** The gateway starts and knows nothing but this. */
+    /** The gateway starts and knows nothing but this; it is number me of the gateways. */
     record Started(
             long seed, int gateways, List<OpType> opTypes, List<Tenant> tenants, double beyondShareValue,
-            Pledges pledges, Permits permits, CopyKeeping copies, boolean listOnDemand) implements Happening {}
+            Pledges pledges, Permits permits, CopyKeeping copies, boolean listOnDemand, int me) implements Happening {}
 
     /** The list of servers, whole or its changes; failed when asking for it brought none. */
     record ListTold(boolean whole, boolean failed, List<Listing> listings) implements Happening {}
@@ -36,7 +36,10 @@
     record ProbeEnded(ServerId server, Ending ending, Telling report) implements Happening {}
 
     /** Another gateway's message. */
-    record PeerMessage(int from, String hex) implements Happening {}
+    record PeerMessage(int from, byte[] bytes) implements Happening {}
+
+    /** The gateway is about to leave. */
+    record Leaving() implements Happening {}
 
     /** How a send ended. Cut off: on the way to a connection, by whom is not known; broken off: after it was sent. */
     enum Ending {
--- a/src/main/java/ploverdale/state/Member.java
+++ b/gateway/src/main/java/ploverdale/state/Member.java
@@ -24,7 +24,11 @@
     public long positionToldAt = Telling.UNTOLD;
     public long turnedAwayAt = Telling.UNTOLD;
 
-    public long heardAt = Telling.UNTOLD;
+    public long heardAt = Telling.UNTOLD; // by this gateway, or as good as that; put back where a probe is wanted
+    public long aliveAt = Telling.UNTOLD; // by any gateway
+    public long silentAt = Telling.UNTOLD; // the same
+    public Listing.Stage listed = Listing.Stage.IN;
+    public long drainTold = Telling.UNTOLD; // by a list, here or elsewhere
     public long connectFailedAt = Telling.UNTOLD;
     public boolean refusesConnects;
     public long cutAt = Telling.UNTOLD;
--- a/src/main/java/ploverdale/terms/Terms.java
+++ b/gateway/src/main/java/ploverdale/terms/Terms.java
@@ -131,12 +131,13 @@
                 !rules.mark("removalNotBinding"), Fields.down(rules.number("mustAskInMs", 0)));
         Fields limits = all.object("policyLimits");
         Permits permits = new Permits((int) limits.whole("sendCap", 1), limits.mark("cancel"), limits.mark("probes"),
-                limits.mark("retryAfter"), Fields.down(limits.number("maxRetryAfterMs", 0)));
+                limits.mark("retryAfter"), Fields.down(limits.number("maxRetryAfterMs", 0)),
+                limits.mark("peerMessages"));
         CopyKeeping copies = new CopyKeeping(checks(special.text("checks", "silent")),
                 Fields.down(special.number("waitMs", 0)), special.text("tokens", "").equals("brought"));
         return new Happening.Started(seed, (int) all.whole("balancers", 1), types, tenants,
                 all.number("overShareWorth", 1), pledges, permits, copies,
-                all.text("discovery", "").equals("subscribe"));
+                all.text("discovery", "").equals("subscribe"), (int) all.whole("selfIndex", 0));
     }
 
     private static OpType.Repeats repeats(String word) {
--- a/src/test/java/ploverdale/LogicTest.java
+++ b/gateway/src/test/java/ploverdale/LogicTest.java
@@ -285,7 +285,7 @@
     @Test
     void whatMakesNoSenseChangesNothing() {
         int before = host.acts.size();
-        host.tell(new Happening.PeerMessage(3, "6869zz"));
+        host.tell(new Happening.PeerMessage(3, new byte[] {104, 105}));
         host.tell(new Happening.ProbeEnded(new ServerId("stranger"), Ending.ACKED, note(Role.PRIMARY, host.nowMs)));
         host.ends(new OpId("none"), 0, "stranger", Ending.ACKED, null);
         host.tell(new Happening.ClientLeft(new OpId("none")));
--- /dev/null
+++ b/gateway/src/test/java/ploverdale/hearsay/WordTest.java
@@ -0,0 +1,91 @@
+package ploverdale.hearsay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+
+/** Words in any order, lost and doubled, give the same picture or an older one, never a fresher. */
+class WordTest {
+    static final long NOW = 17_672_256_000_000L; // tenths of a ms, Unix
+
+    /** A time of the last ten seconds, or unknown. */
+    private static Arbitrary<Long> time() {
+        return Arbitraries.longs().between(NOW - 100_000, NOW).injectNull(0.2).map(t -> t == null ? Telling.UNTOLD : t);
+    }
+
+    @Provide
+    static Arbitrary<Word> words() {
+        Arbitrary<Word> known = Combinators.combine(Arbitraries.of(Role.PRIMARY, Role.REPLICA), time(), time(), time(),
+                time(), time(), time(), Arbitraries.doubles().between(1, 15).ofScale(1))
+                .as((role, roleAt, placedAt, alive, silent, cold, drain, slow) -> new Word(
+                        roleAt == Telling.UNTOLD ? Role.UNKNOWN : role, roleAt,
+                        placedAt == Telling.UNTOLD ? placedAt : placedAt - 500, placedAt, alive, silent, cold, drain,
+                        alive == Telling.UNTOLD ? 1 : slow, alive, Double.NaN));
+        return known;
+    }
+
+    private static Word all(List<Word> words) {
+        return words.stream().reduce(Word.NONE, Word::join);
+    }
+
+    @Property(seed = "7")
+    void orderAndRepetitionChangeNothing(@ForAll @Size(max = 8) List<@From("words") Word> words, @ForAll Random chance) {
+        List<Word> other = new ArrayList<>(words);
+        other.addAll(words.subList(0, words.size() / 2));
+        Collections.shuffle(other, chance);
+        assertThat(all(other)).isEqualTo(all(words));
+        assertThat(all(words).join(all(words))).isEqualTo(all(words));
+    }
+
+    @Property(seed = "8")
+    void lossMakesOlderNeverFresher(@ForAll @Size(min = 1, max = 8) List<@From("words") Word> words) {
+        Word part = all(words.subList(0, words.size() - 1));
+        assertOlder(part, all(words));
+        assertThat(part.join(all(words))).isEqualTo(all(words));
+    }
+
+    @Property(seed = "9")
+    void aWordLosesOnItsWayButNeverGains(@ForAll("words") Word word) {
+        Datagram sent = new Datagram(Datagram.Kind.TELLS, NOW + 7, java.util.Map.of(5, word));
+        Word came = Datagram.read(sent.bytes()).datagram().words().get(5);
+        assertOlder(came, word);
+        assertThat(came.role()).isEqualTo(word.role());
+        if (word.position() != Telling.UNTOLD) {
+            assertThat(word.position() - came.position()).isBetween(0L, 9L);
+            assertThat(word.roleAt() - came.roleAt()).isBetween(0L, 120L);
+        }
+        assertThat(came.slow()).isCloseTo(word.slow(), org.assertj.core.data.Offset.offset(0.04));
+    }
+
+    private static void assertOlder(Word older, Word newer) {
+        assertThat(older.roleAt()).isLessThanOrEqualTo(newer.roleAt());
+        assertThat(older.position()).isLessThanOrEqualTo(newer.position());
+        assertThat(older.positionAt()).isLessThanOrEqualTo(newer.positionAt());
+        assertThat(older.aliveAt()).isLessThanOrEqualTo(newer.aliveAt());
+        assertThat(older.silentAt()).isLessThanOrEqualTo(newer.silentAt());
+        assertThat(older.coldSince()).isLessThanOrEqualTo(newer.coldSince());
+        assertThat(older.drainAt()).isLessThanOrEqualTo(newer.drainAt());
+        assertThat(older.slowAt()).isLessThanOrEqualTo(newer.slowAt());
+    }
+
+    @Property(seed = "10")
+    void whatIsTooOldIsForgottenButADrainAndAColdStart(@ForAll("words") Word word) {
+        Word later = word.since(NOW + 1);
+        assertThat(later.withRoleOlder(0)).isEqualTo(new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
+                Telling.UNTOLD, Telling.UNTOLD, word.coldSince(), word.drainAt(), 1, Telling.UNTOLD, Double.NaN));
+        assertThat(word.since(NOW - 200_000)).isEqualTo(word);
+    }
+}
