--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -658,7 +658,7 @@
                 m.position, m.positionToldAt, m.aliveAt, m.silentAt,
                 warmth(m) < 1 ? m.coldSince : Telling.UNTOLD,
                 m.stage == Listing.Stage.DRAINING ? m.drainTold : Telling.UNTOLD, m.stretch,
-                m.stretchAt == 0 ? Telling.UNTOLD : m.stretchAt, m.busy);
+                m.stretchAt == 0 ? Telling.UNTOLD : m.stretchAt);
     }
 
     private void heard(Happening.PeerMessage p) {
@@ -677,7 +677,6 @@
             stage(m, now - w.drainAt() < DRAIN_HEARD_LASTS ? Listing.Stage.DRAINING : m.stage);
         }
         m.coldSince = Math.max(m.coldSince, w.coldSince());
-        m.busy = w.positionAt() > m.positionToldAt && !Double.isNaN(w.busy()) ? w.busy() : m.busy;
         m.position = Math.max(m.position, w.position());
         m.positionToldAt = Math.max(m.positionToldAt, w.positionAt());
         if (w.slowAt() > m.stretchAt) {
--- a/gateway/src/main/java/ploverdale/hearsay/Datagram.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Datagram.java
@@ -15,8 +15,8 @@
  * checksum of all before it (4 bytes). An entry: server's number (4), parts told (1), then ages in units of 10 ms (2 each)
  * and the position's age in ms (3); ages are rounded up, so that no word gets newer on its way. An older version's entry is
  * shorter and what it lacks is not known; a newer version's is longer and the rest of it is passed over. A datagram of
- * places holds only positions, roles and how busy, five bytes a server: half its number, the position's age in ms with the
- * role in its highest bit, and the busy part in steps of a 64th; when each was learnt is not told, only that it was within a stated time before the sending.
+ * places holds only positions and roles, four bytes a server: half its number, and the position's age in ms with the role
+ * in its highest bit; when each was learnt is not told, only that it was within a stated time before the sending.
  *
  * @param kind what it is for
  * @param sentAt by the sender's clock, in tenths of a millisecond
@@ -39,7 +39,7 @@
     private static final int CHECK = 4;
     private static final int ENTRY = 23;
     private static final int ENTRY_LEAST = 7; // number, parts, and the age of a role
-    private static final int PLACE = 5;
+    private static final int PLACE = 4;
     public static final int PLACES_MOST = (MOST - HEAD - CHECK) / PLACE;
     private static final int PLACE_AGE = 0x7FFF; // mask; the highest age stands for too old to tell
     public static final int ENTRIES_MOST = (MOST - HEAD - CHECK) / ENTRY;
@@ -48,8 +48,6 @@
     private static final int AGE_NONE = 0xFFFF;
     private static final int POSITION_AGE_NONE = 0xFFFFFF;
     private static final int ROLE_PARTS = 3; // mask
-    private static final double BUSY_UNIT = 1 / 64.0;
-    private static final int BUSY_NONE = 255;
     private static final double SLOW_UNIT = 1 / 16.0;
 
     /**
@@ -119,19 +117,18 @@
             long old = w.position() == Telling.UNTOLD ? PLACE_AGE : ms - Math.floorDiv(w.position(), MS);
             int age = old >= PLACE_AGE ? PLACE_AGE : (int) Math.max(0, old);
             b.putShort((short) (int) number).putShort((short) (age | (w.role() == Role.PRIMARY ? PLACE_AGE + 1 : 0)));
-            b.put((byte) (Double.isNaN(w.busy()) ? BUSY_NONE : Math.min(BUSY_NONE - 1, Math.round(w.busy() / BUSY_UNIT))));
         });
         CRC32C crc = new CRC32C();
         crc.update(b.array(), 0, b.position());
         return b.putInt((int) crc.getValue()).array();
     }
 
-    private static Word place(int age, int busy, Kind kind, long sentAt) {
+    private static Word place(int age, Kind kind, long sentAt) {
         long at = sentAt - (kind == Kind.PLACES_UP ? Rota.UP_WITHIN : Rota.WITHIN);
         boolean told = (age & PLACE_AGE) < PLACE_AGE;
         return new Word((age & PLACE_AGE + 1) != 0 ? Role.PRIMARY : Role.REPLICA, at,
                 told ? sentAt - (age & PLACE_AGE) * MS : Telling.UNTOLD, told ? at : Telling.UNTOLD, at, Telling.UNTOLD,
-                Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD, busy == BUSY_NONE ? Double.NaN : busy * BUSY_UNIT);
+                Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD);
     }
 
     private void age(ByteBuffer b, long at) {
@@ -171,7 +168,7 @@
         Map<Integer, Word> words = new LinkedHashMap<>();
         for (int at = HEAD; at < HEAD + room; at += entry) {
             if (places) {
-                words.merge(b.getShort(at) & 0xFFFF, place(b.getShort(at + 2) & 0xFFFF, b.get(at + 4) & 0xFF, Kind.values()[kind], sentAt),
+                words.merge(b.getShort(at) & 0xFFFF, place(b.getShort(at + 2) & 0xFFFF, Kind.values()[kind], sentAt),
                         Word::join);
                 continue;
             }
@@ -207,7 +204,7 @@
         boolean placed = position != Telling.UNTOLD && positionAt != Telling.UNTOLD;
         return new Word(led ? Role.values()[role] : Role.UNKNOWN, led ? roleAt : Telling.UNTOLD,
                 placed ? position : Telling.UNTOLD, placed ? positionAt : Telling.UNTOLD, aliveAt, silentAt, coldSince,
-                drainAt, slow, slowAt, Double.NaN);
+                drainAt, slow, slowAt);
     }
 
     private static long at(ByteBuffer b, long sentAt) {
--- a/gateway/src/main/java/ploverdale/hearsay/Rota.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Rota.java
@@ -29,7 +29,7 @@
     private static final int DIRECTLY = 9; // others at most, whom a collector tells itself
     private static final int PENDING_MOST = 55;
 
-    private record Place(long position, Role role, double busy, long at) {}
+    private record Place(long position, Role role, long at) {}
 
     private final int me;
     private final int instances;
@@ -62,7 +62,7 @@
     void place(ServerId id, Word w, long at) {
         if (w.position() != Telling.UNTOLD && w.role() != Role.UNKNOWN) {
             Place p = places.get(id);
-            places.put(id, new Place(p == null ? w.position() : Math.max(p.position, w.position()), w.role(), w.busy(), at));
+            places.put(id, new Place(p == null ? w.position() : Math.max(p.position, w.position()), w.role(), at));
         }
     }
 
@@ -98,7 +98,7 @@
         places.forEach((id, p) -> {
             if (now - p.at <= WITHIN - UP_WITHIN && words.size() < Datagram.PLACES_MOST) {
                 words.put(Datagram.shortNumber(id), new Word(p.role, now, p.position, now, now, Telling.UNTOLD,
-                        Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD, p.busy));
+                        Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD));
             }
         });
         toldAt = now;
--- a/gateway/src/main/java/ploverdale/hearsay/Word.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Word.java
@@ -17,24 +17,22 @@
  * @param coldSince when it last began cold
  * @param drainAt when it was listed as draining
  * @param slow its latency as a multiple of the usual, at slowAt
- * @param busy the busy part of its cores, told with the position; NaN where it was not told
  */
 public record Word(Role role, long roleAt, long position, long positionAt, long aliveAt, long silentAt, long coldSince,
-        long drainAt, double slow, long slowAt, double busy) {
+        long drainAt, double slow, long slowAt) {
 
     /** Nothing known. */
     public static final Word NONE = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD, Double.NaN);
+            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD);
 
     /** Both words in one. */
     public Word join(Word o) {
         boolean role = o.roleAt > roleAt || o.roleAt == roleAt && o.role.ordinal() > this.role.ordinal();
         boolean slow = o.slowAt > slowAt || o.slowAt == slowAt && o.slow > this.slow;
-        boolean busy = o.positionAt > positionAt || o.positionAt == positionAt && Double.compare(this.busy, o.busy) < 0;
         return new Word(role ? o.role : this.role, Math.max(roleAt, o.roleAt), Math.max(position, o.position),
                 Math.max(positionAt, o.positionAt), Math.max(aliveAt, o.aliveAt), Math.max(silentAt, o.silentAt),
                 Math.max(coldSince, o.coldSince), Math.max(drainAt, o.drainAt), slow ? o.slow : this.slow,
-                Math.max(slowAt, o.slowAt), busy ? o.busy : this.busy);
+                Math.max(slowAt, o.slowAt));
     }
 
     /** The same without what was learnt before a time, since it proves nothing any more; a drain and a cold start stay. */
@@ -45,32 +43,30 @@
         return new Word(role ? this.role : Role.UNKNOWN, role ? roleAt : Telling.UNTOLD,
                 placed ? position : Telling.UNTOLD, placed ? positionAt : Telling.UNTOLD,
                 aliveAt >= time ? aliveAt : Telling.UNTOLD, silentAt >= time ? silentAt : Telling.UNTOLD, coldSince, drainAt,
-                slow ? this.slow : 1, slow ? slowAt : Telling.UNTOLD, placed ? busy : Double.NaN);
+                slow ? this.slow : 1, slow ? slowAt : Telling.UNTOLD);
     }
 
     /** The same with nothing learnt after a time; for words of a clock that runs ahead. */
     public Word notAfter(long time) {
         return new Word(role, Math.min(roleAt, time), position, Math.min(positionAt, time), Math.min(aliveAt, time),
-                Math.min(silentAt, time), Math.min(coldSince, time), Math.min(drainAt, time), slow, Math.min(slowAt, time),
-                busy);
+                Math.min(silentAt, time), Math.min(coldSince, time), Math.min(drainAt, time), slow, Math.min(slowAt, time));
     }
 
     /** The same with a role that is not believed left out. */
     public Word withoutRole() {
         return new Word(Role.UNKNOWN, Telling.UNTOLD, position, positionAt, aliveAt, silentAt, coldSince, drainAt, slow,
-                slowAt, busy);
+                slowAt);
     }
 
     /** The same without how slow it is. */
     public Word withoutSlow() {
-        return new Word(role, roleAt, position, positionAt, aliveAt, silentAt, coldSince, drainAt, 1, Telling.UNTOLD,
-                busy);
+        return new Word(role, roleAt, position, positionAt, aliveAt, silentAt, coldSince, drainAt, 1, Telling.UNTOLD);
     }
 
     /** The same, its role told earlier by so much. */
     public Word withRoleOlder(long by) {
         return by == 0 || roleAt == Telling.UNTOLD ? this : new Word(role, roleAt - by, position, positionAt, aliveAt,
-                silentAt, coldSince, drainAt, slow, slowAt, busy);
+                silentAt, coldSince, drainAt, slow, slowAt);
     }
 
     /** Whether somebody found it silent and nobody has heard of it since. */
--- a/gateway/src/test/java/ploverdale/hearsay/HearsayTest.java
+++ b/gateway/src/test/java/ploverdale/hearsay/HearsayTest.java
@@ -76,7 +76,7 @@
 
     static Word role(Role role, long at) {
         return new Word(role, at, Telling.UNTOLD, Telling.UNTOLD, at, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, 1,
-                Telling.UNTOLD, Double.NaN);
+                Telling.UNTOLD);
     }
 
     private static byte[] told(long sentAt, ServerId id, Word w) {
@@ -234,7 +234,7 @@
             slow *= 1.01;
             long at = NOW + i * 20 * MS;
             t.learns(at, 0, P, new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, at, Telling.UNTOLD,
-                    Telling.UNTOLD, Telling.UNTOLD, slow, at, Double.NaN));
+                    Telling.UNTOLD, Telling.UNTOLD, slow, at));
             t.pass(at, at + MS, 0);
         }
         assertThat(t.known.get(1).get(P).slow()).isBetween(4.0, 7.4);
--- a/gateway/src/test/java/ploverdale/hearsay/WordTest.java
+++ b/gateway/src/test/java/ploverdale/hearsay/WordTest.java
@@ -33,7 +33,7 @@
                 .as((role, roleAt, placedAt, alive, silent, cold, drain, slow) -> new Word(
                         roleAt == Telling.UNTOLD ? Role.UNKNOWN : role, roleAt,
                         placedAt == Telling.UNTOLD ? placedAt : placedAt - 500, placedAt, alive, silent, cold, drain,
-                        alive == Telling.UNTOLD ? 1 : slow, alive, Double.NaN));
+                        alive == Telling.UNTOLD ? 1 : slow, alive));
         return known;
     }
 
@@ -85,7 +85,7 @@
     void whatIsTooOldIsForgottenButADrainAndAColdStart(@ForAll("words") Word word) {
         Word later = word.since(NOW + 1);
         assertThat(later.withRoleOlder(0)).isEqualTo(new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-                Telling.UNTOLD, Telling.UNTOLD, word.coldSince(), word.drainAt(), 1, Telling.UNTOLD, Double.NaN));
+                Telling.UNTOLD, Telling.UNTOLD, word.coldSince(), word.drainAt(), 1, Telling.UNTOLD));
         assertThat(word.since(NOW - 200_000)).isEqualTo(word);
     }
 }
