Search for a primary as before where others do not tell; rig tier; words without slowness

A list that itself told of a drain may undo it (drainTold of a list's own word). Rig tier: 300 instances that start at once, 24 servers, replaced all the time, 5 % loss, simulated time.

--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -131,8 +131,9 @@
             if (hearsay != null && l.stage() != Listing.Stage.GONE) {
                 hearsay.listed(m.id);
             }
+            boolean drained = m.listed == Listing.Stage.DRAINING; // by the list itself, which may undo it
+            m.drainTold = l.stage() == Listing.Stage.DRAINING ? now : drained ? Telling.UNTOLD : m.drainTold;
             m.listed = l.stage();
-            m.drainTold = l.stage() == Listing.Stage.DRAINING ? now : m.drainTold;
             // Guards against a list that does not know yet of a drain heard elsewhere: it does not undo it.
             stage(m, heardOfDrain(m) && l.startedAt() <= m.startedAt ? m.stage : l.stage());
             if (l.primary() && m.group.primary == null && m.role == Role.UNKNOWN && m.isIn()) {
@@ -267,7 +268,8 @@
         Member p = g.primary;
         boolean known = p != null && p.isIn() && !p.silent;
         if (!known || !heardLately(p)) {
-            ask(g, m -> m == p || !known && now - m.positionToldAt > askAgain());
+            boolean told = askAgain() > ASK_AGAIN; // by others, where each member stands and whether it leads
+            ask(g, m -> m == p || !known && (!told || now - m.positionToldAt > askAgain()));
         }
         return known && heardLately(p) && knowsRepeat(op, p) && hasRoom(p, WRITE_SHARE) && coldAllows(p, op)
                 ? p : HOLD;
@@ -661,16 +663,14 @@
         return new Word(m.role, m.role == Role.UNKNOWN ? Telling.UNTOLD : Math.min(now, m.roleToldAt),
                 m.position, m.positionToldAt, m.aliveAt, m.silentAt,
                 warmth(m) < 1 ? m.coldSince : Telling.UNTOLD,
-                m.stage == Listing.Stage.DRAINING ? m.drainTold : Telling.UNTOLD, 1, Telling.UNTOLD);
+                m.stage == Listing.Stage.DRAINING ? m.drainTold : Telling.UNTOLD);
     }
 
     private void heard(Happening.PeerMessage p) {
         Hearsay.Heard h = hearsay.hears(now, p.from(), p.bytes());
         h.words().forEach((id, w) -> believe(members.get(id), w));
         tell(h.letters());
-        if (h.line() != null) {
-            log(h.line());
-        }
+        Optional.ofNullable(h.line()).ifPresent(this::log);
     }
 
     /** Own words win over others as old; nothing gets newer than it was at its source. */
--- a/gateway/src/main/java/ploverdale/hearsay/Datagram.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Datagram.java
@@ -37,7 +37,7 @@
     private static final int VERSION = 1;
     private static final int HEAD = 10;
     private static final int CHECK = 4;
-    private static final int ENTRY = 23;
+    private static final int ENTRY = 20;
     private static final int ENTRY_LEAST = 7; // number, parts, and the age of a role
     private static final int PLACE = 4;
     public static final int PLACES_MOST = (MOST - HEAD - CHECK) / PLACE;
@@ -48,7 +48,6 @@
     private static final int AGE_NONE = 0xFFFF;
     private static final int POSITION_AGE_NONE = 0xFFFFFF;
     private static final int ROLE_PARTS = 3; // mask
-    private static final double SLOW_UNIT = 1 / 16.0;
 
     /**
      * The number that stands for a server. It only finds a server that the reader was told of, so two instances need not
@@ -97,8 +96,6 @@
             age(b, w.silentAt());
             age(b, w.coldSince());
             age(b, w.drainAt());
-            age(b, w.slowAt());
-            b.put((byte) Math.min(255, Math.round(w.slow() / SLOW_UNIT)));
         });
         CRC32C crc = new CRC32C();
         crc.update(b.array(), 0, b.position());
@@ -129,7 +126,7 @@
         long at = told ? Math.max(learnt, sentAt - (age & PLACE_AGE) * MS) : learnt; // no position is learnt before it is so
         return new Word((age & PLACE_AGE + 1) != 0 ? Role.PRIMARY : Role.REPLICA, at,
                 told ? sentAt - (age & PLACE_AGE) * MS : Telling.UNTOLD, told ? at : Telling.UNTOLD, at, Telling.UNTOLD,
-                Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD);
+                Telling.UNTOLD, Telling.UNTOLD);
     }
 
     private void age(ByteBuffer b, long at) {
@@ -198,14 +195,11 @@
         long silentAt = at(b, sentAt);
         long coldSince = at(b, sentAt);
         long drainAt = at(b, sentAt);
-        long slowAt = at(b, sentAt);
-        slowAt = b.hasRemaining() ? slowAt : Telling.UNTOLD;
-        double slow = slowAt == Telling.UNTOLD ? 1 : Math.max(SLOW_UNIT, (b.get() & 0xFF) * SLOW_UNIT);
         boolean led = role > 0 && roleAt != Telling.UNTOLD;
         boolean placed = position != Telling.UNTOLD && positionAt != Telling.UNTOLD;
         return new Word(led ? Role.values()[role] : Role.UNKNOWN, led ? roleAt : Telling.UNTOLD,
                 placed ? position : Telling.UNTOLD, placed ? positionAt : Telling.UNTOLD, aliveAt, silentAt, coldSince,
-                drainAt, slow, slowAt);
+                drainAt);
     }
 
     private static long at(ByteBuffer b, long sentAt) {
--- a/gateway/src/main/java/ploverdale/hearsay/Hearsay.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Hearsay.java
@@ -32,7 +32,7 @@
     private static final long MS = 10;
     /** From one telling of positions to the age that they have at the next, at most; see the rota. */
     public static final long PLACES_EVERY = Rota.EVERY + Rota.WITHIN;
-    private static final long PROVES_FOR = 30_000 * MS; // who leads, is silent or slow; older words prove nothing
+    private static final long PROVES_FOR = 30_000 * MS; // who leads or is silent; older words prove nothing
     private static final long ON_ITS_WAY_MOST = 2000 * MS; // later, something is wrong with the way or a clock
     private static final long CLOCKS_APART = 500 * MS; // at most; a word from the future is one of now
     private static final int FAN = 3; // told at a time; with this nearly all hear of it within a few steps
@@ -202,7 +202,7 @@
             k.tellAt = now;
             news.add(k);
         }
-        k.picture = k.picture.join(isNews ? w : w.withoutSlow()); // it may change by little and little
+        k.picture = k.picture.join(w);
     }
 
     private Heard refused(long now, int from, Object why) {
--- a/gateway/src/main/java/ploverdale/hearsay/Rota.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Rota.java
@@ -98,7 +98,7 @@
         places.forEach((id, p) -> {
             if (now - p.at <= WITHIN - UP_WITHIN && words.size() < Datagram.PLACES_MOST) {
                 words.put(Datagram.shortNumber(id), new Word(p.role, now, p.position, now, now, Telling.UNTOLD,
-                        Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD));
+                        Telling.UNTOLD, Telling.UNTOLD));
             }
         });
         toldAt = words.isEmpty() ? toldAt : now;
--- a/gateway/src/main/java/ploverdale/hearsay/Word.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Word.java
@@ -16,57 +16,46 @@
  * @param silentAt when somebody last found that it does not answer
  * @param coldSince when it last began cold
  * @param drainAt when it was listed as draining
- * @param slow its latency as a multiple of the usual, at slowAt
  */
 public record Word(Role role, long roleAt, long position, long positionAt, long aliveAt, long silentAt, long coldSince,
-        long drainAt, double slow, long slowAt) {
+        long drainAt) {
 
     /** Nothing known. */
     public static final Word NONE = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, 1, Telling.UNTOLD);
+            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD);
 
     /** Both words in one. */
     public Word join(Word o) {
         boolean role = o.roleAt > roleAt || o.roleAt == roleAt && o.role.ordinal() > this.role.ordinal();
-        boolean slow = o.slowAt > slowAt || o.slowAt == slowAt && o.slow > this.slow;
         return new Word(role ? o.role : this.role, Math.max(roleAt, o.roleAt), Math.max(position, o.position),
                 Math.max(positionAt, o.positionAt), Math.max(aliveAt, o.aliveAt), Math.max(silentAt, o.silentAt),
-                Math.max(coldSince, o.coldSince), Math.max(drainAt, o.drainAt), slow ? o.slow : this.slow,
-                Math.max(slowAt, o.slowAt));
+                Math.max(coldSince, o.coldSince), Math.max(drainAt, o.drainAt));
     }
 
     /** The same without what was learnt before a time, since it proves nothing any more; a drain and a cold start stay. */
     public Word since(long time) {
         boolean role = roleAt >= time;
         boolean placed = positionAt >= time;
-        boolean slow = slowAt >= time;
         return new Word(role ? this.role : Role.UNKNOWN, role ? roleAt : Telling.UNTOLD,
                 placed ? position : Telling.UNTOLD, placed ? positionAt : Telling.UNTOLD,
-                aliveAt >= time ? aliveAt : Telling.UNTOLD, silentAt >= time ? silentAt : Telling.UNTOLD, coldSince, drainAt,
-                slow ? this.slow : 1, slow ? slowAt : Telling.UNTOLD);
+                aliveAt >= time ? aliveAt : Telling.UNTOLD, silentAt >= time ? silentAt : Telling.UNTOLD, coldSince, drainAt);
     }
 
     /** The same with nothing learnt after a time; for words of a clock that runs ahead. */
     public Word notAfter(long time) {
         return new Word(role, Math.min(roleAt, time), position, Math.min(positionAt, time), Math.min(aliveAt, time),
-                Math.min(silentAt, time), Math.min(coldSince, time), Math.min(drainAt, time), slow, Math.min(slowAt, time));
+                Math.min(silentAt, time), Math.min(coldSince, time), Math.min(drainAt, time));
     }
 
     /** The same with a role that is not believed left out. */
     public Word withoutRole() {
-        return new Word(Role.UNKNOWN, Telling.UNTOLD, position, positionAt, aliveAt, silentAt, coldSince, drainAt, slow,
-                slowAt);
-    }
-
-    /** The same without how slow it is. */
-    public Word withoutSlow() {
-        return new Word(role, roleAt, position, positionAt, aliveAt, silentAt, coldSince, drainAt, 1, Telling.UNTOLD);
+        return new Word(Role.UNKNOWN, Telling.UNTOLD, position, positionAt, aliveAt, silentAt, coldSince, drainAt);
     }
 
     /** The same, its role told earlier by so much. */
     public Word withRoleOlder(long by) {
         return by == 0 || roleAt == Telling.UNTOLD ? this : new Word(role, roleAt - by, position, positionAt, aliveAt,
-                silentAt, coldSince, drainAt, slow, slowAt);
+                silentAt, coldSince, drainAt);
     }
 
     /** Whether somebody found it silent and nobody has heard of it since. */
@@ -76,16 +65,15 @@
 
     /**
      * Whether this says something that others act on and that the older word did not: who leads, that a server went
-     * silent or answers again, drains, began cold, or became slower or faster by a good deal.
+     * silent or answers again, drains or began cold.
      */
     public boolean isNewsAfter(Word older) {
-        return role != Role.UNKNOWN && role != older.role && roleAt > older.roleAt
+        boolean leads = role == Role.PRIMARY;
+        return role != Role.UNKNOWN && leads != (older.role == Role.PRIMARY) && roleAt > older.roleAt
                 || silent() != older.silent() && Math.max(silentAt, aliveAt) > Math.max(older.silentAt, older.aliveAt)
                 || drainAt > older.drainAt && older.drainAt == Telling.UNTOLD
-                || coldSince > older.coldSince + SAME_START
-                || slowAt > older.slowAt && Math.abs(Math.log(slow / older.slow)) > SLOWER;
+                || coldSince > older.coldSince + SAME_START;
     }
 
     private static final long SAME_START = 20_000; // tenths of a ms; each instance sees a start at its own time
-    private static final double SLOWER = Math.log(1.6);
 }
--- /dev/null
+++ b/tools/src/main/java/ploverdale/tools/rig/Tier.java
@@ -0,0 +1,194 @@
+package ploverdale.tools.rig;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import ploverdale.hearsay.Hearsay;
+import ploverdale.hearsay.Hearsay.Letter;
+import ploverdale.hearsay.Word;
+import ploverdale.model.ServerId;
+import ploverdale.model.Telling;
+import ploverdale.model.Telling.Role;
+
+/**
+ * Hundreds of instances that start at once, in simulated time: only what they tell one another, without sockets. Each hears
+ * a position now and then from its own ops; servers are replaced under new ids all the time; one goes silent. Shows what the
+ * words cost, how soon news has reached all, how fresh positions are, and that nothing grows.
+ */
+public final class Tier {
+    private static final long MS = 10;
+    private static final int INSTANCES = 300;
+    private static final int SERVERS = 24;
+    private static final double OPS = 900;
+    private static final long BOUND = 500 * MS;
+    private static final long LENGTH = 60_000 * MS;
+    private static final long STEP = 20 * MS;
+    private static final long REPLACED_EVERY = 500 * MS;
+    private static final long SILENT_AT = 20_000 * MS;
+    private static final double LOSS = 0.05;
+    private static final double TOLD = 0.97; // of the instances; by chance one in some hundreds is told by nobody
+    private static final long LEAST_WAY = MS;
+    private static final int MOST_WAY = 40;
+    private static final long START = 17_672_256_000_000L;
+
+    private record OnItsWay(long at, long order, int from, Letter letter) {}
+
+    private final SplittableRandom chance;
+    private final List<Hearsay> all = new ArrayList<>();
+    private final List<Map<ServerId, Word>> known = new ArrayList<>();
+    private final PriorityQueue<OnItsWay> ways = new PriorityQueue<>(
+            java.util.Comparator.comparingLong(OnItsWay::at).thenComparingLong(OnItsWay::order));
+    private final List<ServerId> servers = new ArrayList<>();
+    private int named;
+    private long letters;
+    private long bytes;
+    private int longest;
+    private long startBytes;
+
+    private Tier(long seed) {
+        chance = new SplittableRandom(seed);
+    }
+
+    /** Plays each seed, one after the other. */
+    static List<Check> play(long firstSeed, int seeds, int atATime) {
+        List<Check> checks = new ArrayList<>();
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            new Tier(seed).run(seed, checks);
+        }
+        return checks;
+    }
+
+    private void run(long seed, List<Check> checks) {
+        long heapBefore = heap();
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(new ServerId("s-" + named++));
+        }
+        for (int i = 0; i < INSTANCES; i++) {
+            Map<ServerId, Word> mine = new HashMap<>();
+            Hearsay h = new Hearsay(i, INSTANCES, OPS, BOUND, chance.split(), id -> mine.getOrDefault(id, Word.NONE));
+            servers.forEach(h::listed);
+            h.starts(START);
+            all.add(h);
+            known.add(mine);
+        }
+        long cpu = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        long fresh = 0;
+        long looked = 0;
+        long reached = -1;
+        long heapHalf = 0;
+        long order = 0;
+        ServerId lost = null;
+        double opsDue = 0;
+        for (long now = START; now < START + LENGTH; now += STEP) {
+            long passed = now - START;
+            if (passed == SILENT_AT) {
+                lost = servers.get(1);
+                Word w = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, now,
+                        Telling.UNTOLD, Telling.UNTOLD);
+                known.get(3).merge(lost, w, Word::join);
+                all.get(3).learnt(now, lost);
+            }
+            for (opsDue += OPS * STEP / (1000.0 * MS); opsDue >= 1; opsDue--) {
+                op(now, lost);
+            }
+            if (passed % REPLACED_EVERY == 0 && passed > 0) {
+                replace(lost);
+            }
+            while (!ways.isEmpty() && ways.peek().at() <= now) {
+                OnItsWay w = ways.poll();
+                int to = w.letter().peer();
+                Hearsay.Heard h = all.get(to).hears(now, w.from(), w.letter().bytes());
+                h.words().forEach((id, x) -> known.get(to).merge(id, x, Word::join));
+                order = send(now, to, h.letters(), order);
+            }
+            for (int i = 0; i < INSTANCES; i++) {
+                order = send(now, i, all.get(i).due(now), order);
+            }
+            startBytes = passed == 2000 * MS ? bytes : startBytes;
+            if (lost != null && reached < 0) {
+                ServerId l = lost;
+                long silent = known.stream().filter(m -> m.getOrDefault(l, Word.NONE).silent()).count();
+                reached = silent >= INSTANCES * TOLD ? (passed - SILENT_AT) / MS : -1;
+            }
+            if (passed % (100 * MS) == 0 && passed > 5000 * MS) {
+                for (Map<ServerId, Word> m : known) {
+                    for (ServerId id : servers) {
+                        if (!id.equals(lost)) {
+                            looked++;
+                            fresh += now - m.getOrDefault(id, Word.NONE).position() <= BOUND ? 1 : 0;
+                        }
+                    }
+                }
+            }
+            heapHalf = passed == LENGTH / 2 ? heap() : heapHalf;
+        }
+        double cpuMs = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpu) / 1e6;
+        long heap = heap();
+        double seconds = LENGTH / (1000.0 * MS);
+        double share = fresh / (double) looked;
+        String name = "seed " + seed + ": ";
+        checks.add(new Check(name + "no datagram over 256 bytes", letters + " datagrams, the longest " + longest + " bytes",
+                longest <= 256));
+        checks.add(new Check(name + "a silent server is known to 97 of 100 within a second", reached + " ms",
+                reached >= 0 && reached <= 1000));
+        checks.add(new Check(name + "positions within the bound at most instances", String.format(Locale.ROOT,
+                "%.3f of all pairs of instance and server", share), share > 0.5));
+        checks.add(new Check(name + "what words cost", String.format(Locale.ROOT,
+                "%.0f bytes an instance and second, %.2f full messages an op; %.0f bytes an instance in its first 2 s",
+                bytes / seconds / INSTANCES, bytes / 256.0 / (OPS * seconds), startBytes / (double) INSTANCES),
+                bytes / 256.0 / (OPS * seconds) < 1));
+        checks.add(new Check(name + "CPU", String.format(Locale.ROOT, "%.2f ms an instance and second, stand-ins included",
+                cpuMs / seconds / INSTANCES), cpuMs / seconds / INSTANCES < 20));
+        checks.add(new Check(name + "memory does not grow with servers seen", String.format(Locale.ROOT,
+                "%d servers seen; %.1f kB an instance half-way, %.1f at the end", named,
+                (heapHalf - heapBefore) / 1024.0 / INSTANCES, (heap - heapBefore) / 1024.0 / INSTANCES),
+                heap - heapBefore < 1.3 * (heapHalf - heapBefore) + (1 << 20)));
+    }
+
+    private void op(long now, ServerId lost) {
+        int at = chance.nextInt(INSTANCES);
+        ServerId id = servers.get(chance.nextInt(servers.size()));
+        if (!id.equals(lost)) {
+            Role role = servers.indexOf(id) % 4 == 0 ? Role.PRIMARY : Role.REPLICA;
+            known.get(at).merge(id, new Word(role, now, now - 5 * MS, now, now, Telling.UNTOLD, Telling.UNTOLD,
+                    Telling.UNTOLD), Word::join);
+            all.get(at).placed(now, id);
+            all.get(at).learnt(now, id);
+        }
+        all.get(at).op();
+    }
+
+    private void replace(ServerId lost) {
+        int i = 2 + chance.nextInt(servers.size() - 2); // not the one that goes silent
+        ServerId old = servers.get(i);
+        servers.set(i, new ServerId("s-" + named++));
+        for (int k = 0; k < INSTANCES; k++) {
+            all.get(k).forget(old);
+            known.get(k).remove(old);
+            all.get(k).listed(servers.get(i));
+        }
+    }
+
+    private long send(long now, int from, List<Letter> out, long order) {
+        for (Letter l : out) {
+            letters++;
+            bytes += l.bytes().length;
+            longest = Math.max(longest, l.bytes().length);
+            if (chance.nextDouble() >= LOSS) {
+                ways.add(new OnItsWay(now + LEAST_WAY + chance.nextInt(MOST_WAY) * MS, order++, from, l));
+            }
+        }
+        return order;
+    }
+
+    private static long heap() {
+        System.gc();
+        Runtime r = Runtime.getRuntime();
+        return r.totalMemory() - r.freeMemory();
+    }
+}
