--- a/gateway/src/test/java/ploverdale/GatewayFileTest.java
+++ b/gateway/src/test/java/ploverdale/GatewayFileTest.java
@@ -72,4 +72,18 @@
         assertThatThrownBy(() -> read("{\"name\":")).isInstanceOf(Unreadable.class).hasMessageContaining("not JSON");
         assertThatThrownBy(() -> read("[1]")).isInstanceOf(Unreadable.class).hasMessageContaining("not a JSON object");
     }
+
+    @Test
+    void otherInstancesAreHeardOnlyWhereWordsAreAllowedAndThereAreSome() throws IOException {
+        String two = GOOD.replace("\"limits\"", "\"peer_listen\":\"127.0.0.1:7200\",\"peers\":[\"127.0.0.1:7200\","
+                + "\"127.0.0.1:7201\"],\"limits\"").replace("\"zones\"", "\"balancers\":2,\"zones\"");
+        assertThat(read(two).peerListen()).isNull();
+        String allowed = two.replace("\"zones\"", "\"policyLimits\":{\"peerMessages\":true},\"zones\"");
+        assertThat(read(allowed).peerListen().getPort()).isEqualTo(7200);
+        assertThat(read(allowed).peers()).extracting(java.net.InetSocketAddress::getPort).containsExactly(7200, 7201);
+        assertThat(read(allowed.replace(",\"127.0.0.1:7201\"", "").replace("\"balancers\":2", "\"balancers\":1")).peerListen())
+                .isNull();
+        assertThatThrownBy(() -> read(allowed.replace("\"balancers\":2", "\"balancers\":3")))
+                .isInstanceOf(Unreadable.class).hasMessageContaining("peers");
+    }
 }
