--- a/gateway/src/main/java/ploverdale/hearsay/Rota.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Rota.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import ploverdale.hearsay.Datagram.Kind;
 import ploverdale.hearsay.Hearsay.Letter;
 import ploverdale.model.ServerId;
@@ -72,7 +73,7 @@
     }
 
     /** What is to be sent by now; own gives what is known of a server here. */
-    List<Letter> due(long now, java.util.function.Function<ServerId, Word> own) {
+    List<Letter> due(long now, Function<ServerId, Word> own) {
         if (collector(now) == me) {
             pending.clear();
             return now - toldAt < EVERY ? List.of() : tellAll(now);
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -26,8 +26,8 @@
 
 /**
  * Owns the parts of one gateway: starts them in order, passes each action of the module to the part that carries
- * it out and each outcome back, gives them a new configuration and ends them at a planned restart. Must never decide anything about an op or a
- * server, nor stop while an op taken in time has no answer.
+ * it out and each outcome back, gives them a new configuration and ends them at a planned restart. Must never decide
+ * anything about an op or a server, nor stop while an op taken in time has no answer.
  */
 public final class Gateway implements LogicLoop.Hands {
     private static final int CALM_LOOKS = 5; // at the clock, with the loop on time, before service begins
--- a/tools/src/main/java/ploverdale/tools/model/GroupModel.java
+++ b/tools/src/main/java/ploverdale/tools/model/GroupModel.java
@@ -153,7 +153,8 @@
     public Done ends(long now, Work w) {
         advance(now);
         ServerModel s = servers.get(w.server());
-        boolean answers = s.answers() && s.faultSince() < w.cameAt() || s.fault() == Fault.NONE && s.startedAt() <= w.cameAt();
+        boolean answers = s.answers() && s.faultSince() < w.cameAt()
+                || s.fault() == Fault.NONE && s.startedAt() <= w.cameAt();
         boolean runs = answers || s.startedAt() <= w.cameAt() && chance.nextBoolean() && s.faultSince() > w.cameAt();
         boolean known = w.token() != null && tokens.getOrDefault(w.token(), Long.MIN_VALUE) > now - plan.tokenWindow();
         boolean leads = w.server().equals(primary) && (!leaderless || !answers);
--- a/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
+++ b/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
@@ -8,8 +8,12 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import ploverdale.net.LogicLoop.Clock;
@@ -33,7 +37,8 @@
 
     /** What one run showed. */
     record Outcome(List<Ledger.Broken> broken, int writesToOld, int writesAsked, int writesAcked, int readsAsked,
-            int readsAcked, Histogram writeLatency, Histogram readLatency, long readyAfterMs, int datagrams, int ops, String changes) {}
+            int readsAcked, Histogram writeLatency, Histogram readLatency, long readyAfterMs,
+            int datagrams, int ops, String changes) {}
 
     private static final long MS = 10;
     private static final long BOUND_MS = 500;
@@ -51,7 +56,7 @@
         for (Words w : Words.values()) {
             all.put(w, new ArrayList<>());
         }
-        java.util.concurrent.ExecutorService pool = java.util.concurrent.Executors.newFixedThreadPool(atATime);
+        ExecutorService pool = Executors.newFixedThreadPool(atATime);
         List<java.util.concurrent.Future<?>> runs = new ArrayList<>();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
             for (Words w : Words.values()) {
@@ -68,7 +73,7 @@
         for (java.util.concurrent.Future<?> r : runs) {
             try {
                 r.get();
-            } catch (java.util.concurrent.ExecutionException e) {
+            } catch (ExecutionException e) {
                 checks.add(new Check("a run that failed", String.valueOf(e.getCause()), false));
             }
         }
@@ -86,16 +91,17 @@
                 reads.add(o.readLatency());
                 writes.add(o.writeLatency());
             });
-            checks.add(new Check(w + ": first " + WINDOW_MS + " ms of the new instance", String.format(java.util.Locale.ROOT,
+            checks.add(new Check(w + ": first " + WINDOW_MS + " ms of the new instance", String.format(Locale.ROOT,
                     "writes acked %.0f of %d (mean %.0f ms), reads acked %.0f of %d (mean %.1f ms, p99 %.1f ms), "
                             + "ready after %.0f ms, %d datagrams",
-                    share(os, true) * asked(os, true), os.stream().mapToInt(Outcome::writesAsked).sum(), writes.getMean() / 1000,
-                    share(os, false) * asked(os, false), os.stream().mapToInt(Outcome::readsAsked).sum(), reads.getMean() / 1000,
+                    share(os, true) * asked(os, true), asked(os, true), writes.getMean() / 1000,
+                    share(os, false) * asked(os, false), asked(os, false), reads.getMean() / 1000,
                     reads.getValueAtPercentile(99) / 1000.0,
-                    os.stream().mapToLong(Outcome::readyAfterMs).average().orElse(0), os.stream().mapToInt(Outcome::datagrams).sum()), true));
+                    os.stream().mapToLong(Outcome::readyAfterMs).average().orElse(0),
+                    os.stream().mapToInt(Outcome::datagrams).sum()), true));
         }
         double lost = share(all.get(Words.LOSS_100), false) - share(all.get(Words.OFF), false);
-        checks.add(new Check("all words lost is not worse than none", String.format(java.util.Locale.ROOT,
+        checks.add(new Check("all words lost is not worse than none", String.format(Locale.ROOT,
                 "share of reads acked %+.3f", lost), lost > -NOT_WORSE_BY));
         return checks;
     }
