Ends in order, leaving seen, silent watches and hung writes given up in time; stories of crossings

It is given up an eighth earlier now (Logic.answerBy); what is lost is an answer in that last eighth. - ClientSide.flow stopped reading a client with 8 commands in hand; its close comes behind its bytes and was seen up to 15 s later, while its ops were sent. It is read on up to 256 KiB, not parsed. - A close over unread bytes reset the connection and took answers back that were on their way (60,000 bytes at a client that takes little at a time). A planned restart waits for connections that it has ended.

--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -26,6 +26,7 @@
     private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
     private static final double FIRST_LIMIT = 24; // sends or first probes a server, over all gateways
     private static final double LEAST_LIMIT = 8; // the same, at the least; one or two a gateway
+    private static final double EARLY = 0.125; // of an op timeout: its last part is for the answer's way and standstills
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
 
     private RandomGenerator chance;
@@ -196,7 +197,12 @@
 
     private long worthUntil(Op op) {
         long target = op.type.lateShare() > 0 ? Long.MAX_VALUE : op.targetAt;
-        return Math.min(op.asked.timeoutAt(), target) - MARGIN;
+        return Math.min(answerBy(op), target) - MARGIN;
+    }
+
+    /** Guards against answers given up on at the very end: they reach the client late, or never after a standstill. */
+    private long answerBy(Op op) {
+        return op.asked.timeoutAt() - (long) (EARLY * (op.asked.timeoutAt() - op.arrivedAt));
     }
 
     // -- Where an op goes: role, freshness, drain/cold/health, spread, worth sending
@@ -393,14 +399,18 @@
     private static final double LOST_SHARE = 0.12; // of answers; long ops alone miss one in twenty
 
     private void send(Op op, Member m) {
-        long until = op.type.repeats() == Repeats.RETRYABLE ? worthUntil(op) : op.asked.timeoutAt();
+        long until = op.type.repeats() == Repeats.RETRYABLE ? worthUntil(op) : answerBy(op);
         // Guards against servers whose answers get lost while they work: sends again in time.
         long early = now + (long) (FEW_TAKE * op.pace.usual * stretchNow(m));
         if (m.lostShare > LOST_SHARE && op.type.repeats() != Repeats.NON_RETRYABLE
                 && worthUntil(op) - early > op.pace.usual * stretchNow(m)) {
             until = Math.min(until, early);
         }
-        out.add(new Action.Send(op.asked.op(), m.id, Math.max(1, until - now)));
+        // Guards against positions that age while a connection is made; where servers check reads, they see to it.
+        boolean ages = op.type.needs() == Needs.BOUNDED && m != m.group.primary
+                && copies.checks() == CopyKeeping.Checks.NONE;
+        long writeBy = ages ? m.position + op.type.stalenessBound() : Long.MAX_VALUE;
+        out.add(new Action.Send(op.asked.op(), m.id, Math.max(1, until - now), writeBy));
         op.sendOut = op.sends++;
         op.at = m;
         op.sentAt = now;
@@ -443,7 +453,7 @@
             op.firstMaybeServer = m;
         }
         boolean wrongRole = ending == Ending.TURNED_AWAY && op.type.needs() == Needs.WRITE;
-        if (wrongRole || allotment.again()) {
+        if (wrongRole || ending == Ending.NEVER_SENT || allotment.again()) {
             place(op);
         } else {
             finish(op); // guards against storms: repeats stay a small part of all sends
--- a/gateway/src/main/java/ploverdale/model/Action.java
+++ b/gateway/src/main/java/ploverdale/model/Action.java
@@ -3,8 +3,8 @@
 /** All that a gateway can do. Times in tenths of a millisecond. */
 public sealed interface Action {
 
-    /** Send the op to a server and wait this long at most. */
-    record Send(OpId op, ServerId server, long timeLimit) implements Action {}
+    /** Send the op to a server and wait this long at most; not at all if it cannot be written by then, where that takes time. */
+    record Send(OpId op, ServerId server, long timeLimit, long writeBy) implements Action {}
 
     /** Stop waiting for a send. */
     record CallOff(OpId op, int send) implements Action {}
--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -1,7 +1,9 @@
 package ploverdale.net;
 
+import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -32,6 +34,9 @@
  */
 public final class ClientSide {
     private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
+    // Bytes of one client read beyond these, so that its leaving is seen: the end of a connection comes behind its bytes.
+    private static final int READ_AHEAD_MOST = 256 * 1024;
+    private static final long PARTING_MS = 500; // for a client to close, too, once its connection has been ended here
     private static final long LOOK_MS = 20;
     private static final long SILENT_MS = 20; // for a greeting, once the gateway ends connections
     private static final double TRAFFIC_FADES_MS = 1000;
@@ -88,6 +93,7 @@
     private Past past; // null where gateways keep nothing together
     private boolean ready;
     private boolean ending;
+    private final Set<NetSocket> parting = new LinkedHashSet<>(); // ended here and not yet by their clients
     private long answersBy = Long.MAX_VALUE;
 
     public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, Room<Session> room) {
@@ -122,7 +128,7 @@
         }
         String what = l.why() == Room.Why.NO_GREETING ? "client without a greeting" : "client with an unfinished message";
         log.often(what, "closed after " + l.sinceMs() + " ms, " + room.clients() + " of clients");
-        l.who().giveUp(what);
+        l.who().giveUp("08P01", what);
     }
 
     /** Takes in a connection, in place of one that does nothing where there are many, or turns it away. */
@@ -132,9 +138,12 @@
             end(way);
         } else if (!room.clientFits()) {
             log.often("no room for a connection", "of a client, " + room.clients() + " of clients");
+            room.turnedAway();
             socket.exceptionHandler(e -> { });
+            socket.handler(b -> { });
+            socket.closeHandler(x -> ended(socket));
             socket.write(PgCodec.problem("53300", "too many connections", null, true, false));
-            socket.close();
+            part(socket);
             return;
         }
         sessions.add(new Session(socket));
@@ -151,6 +160,36 @@
         return sessions.size();
     }
 
+    /** Connections ended here that may still have answers on their way. */
+    public int parting() {
+        return parting.size();
+    }
+
+    /**
+     * Ends a connection in order. Guards against a close over bytes that are still to be read, which would reset it and take
+     * answers back that are on their way: what is written goes out, the end behind it; what comes is read and dropped. No
+     * more than there are spare descriptors for: then those that have had longest are closed.
+     */
+    private void part(NetSocket socket) {
+        parting.add(socket);
+        socket.write(Buffer.buffer()).onSuccess(x -> {
+            if (((NetSocketInternal) socket).channelHandlerContext().channel() instanceof DuplexChannel c) {
+                c.shutdownOutput();
+            }
+        });
+        vertx.setTimer(PARTING_MS, x -> socket.close());
+        if (parting.size() > room.crossing()) {
+            NetSocket longest = parting.iterator().next();
+            parting.remove(longest);
+            longest.close();
+        }
+    }
+
+    private void ended(NetSocket socket) {
+        parting.remove(socket);
+        vertx.setTimer(1, x -> room.closed()); // the system has its descriptor back a moment later
+    }
+
     /** Connections that have greeted. */
     public int greeted() {
         return sessions.size() - room.strangers();
@@ -196,6 +235,16 @@
         idle.forEach(Session::endIfDone);
     }
 
+    /**
+     * The gateway ends in a moment. Guards against messages in pieces whose last comes too late to be answered: they are
+     * refused now, and nothing more is taken on those connections.
+     */
+    public void refuseUnfinished() {
+        for (Session s = room.longestUnfinished(); s != null; s = room.longestUnfinished()) {
+            s.giveUp("57P03", "this gateway ends, trying again does no harm");
+        }
+    }
+
     public void acked(OpId op, PgCodec.Row row) {
         answer(op, PgCodec.acked(row));
     }
@@ -223,7 +272,7 @@
         while (load >= LOAD_MOST && room.longestUnfinished() != null) {
             Session s = room.longestUnfinished();
             log.often("too much unfinished", "given up with " + s.partial + " bytes, " + load + " held in all");
-            s.giveUp("too much is unfinished here");
+            s.giveUp("08P01", "too much is unfinished here");
         }
     }
 
@@ -253,6 +302,7 @@
         private boolean closed;
         private boolean deaf;
         private boolean paused;
+        private boolean readsOn;
         private boolean unread;
         private boolean skipping;
         private PgCodec.FromClient first;
@@ -354,13 +404,13 @@
         }
 
         /** Ends with what it began; ops taken before that are answered first. */
-        private void giveUp(String why) {
+        private void giveUp(String code, String why) {
             room.greeted(this); // no stranger any more, since it is being answered
             room.whole(this);
             stream.clear();
             lighter(partial);
             partial = 0;
-            refuse("08P01", why, true);
+            refuse(code, why, true);
         }
 
         private void bad(String code, String text, boolean ends) {
@@ -433,7 +483,7 @@
                 }
             }
             if (!closed && slots.isEmpty()) {
-                if (!room.isUnfinished(this)) {
+                if (stream.held() == 0 && !room.isUnfinished(this)) {
                     room.idle(this, nowMs());
                 }
                 if (ending) {
@@ -454,8 +504,12 @@
                     read();
                 });
             }
-            if (paused) {
-                vertx.runOnContext(x -> read());
+            if (!readsOn && stream.held() > 0) {
+                readsOn = true;
+                vertx.runOnContext(x -> {
+                    readsOn = false;
+                    read();
+                });
             }
         }
 
@@ -471,7 +525,7 @@
             if (closed) {
                 return;
             }
-            boolean hold = slots.size() >= AHEAD_MOST || unread || first != null || load >= LOAD_MOST;
+            boolean hold = stream.held() >= READ_AHEAD_MOST || load >= LOAD_MOST;
             if (load >= LOAD_MOST) {
                 heldBack.add(this);
             }
@@ -485,19 +539,28 @@
             }
         }
 
-        /** Guards against many messages that are begun and never end: over the bound they end with their connection. */
         private void close() {
-            gone();
-            socket.close();
+            if (closed) {
+                return;
+            }
+            over();
+            if (paused) {
+                socket.resume();
+            }
+            part(socket);
         }
 
+        /** The connection is no more. */
         private void gone() {
-            if (closed) {
-                return;
+            if (!closed) {
+                over();
             }
+            ended(socket);
+        }
+
+        private void over() {
             closed = true;
             room.left(this);
-            vertx.setTimer(1, x -> room.closed());
             stream.clear(); // what refers to an ended session must not keep its bytes
             lighter(partial + unreadBytes);
             partial = 0;
--- a/gateway/src/main/java/ploverdale/net/Discovery.java
+++ b/gateway/src/main/java/ploverdale/net/Discovery.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import ploverdale.log.Log;
 import ploverdale.net.GatewayFile.ServerList;
 import ploverdale.terms.Fields;
@@ -24,10 +25,13 @@
  */
 public final class Discovery {
     private static final String PATH = "/registry/instances";
-    private static final long HOLD_MS = 5000; // a watch; shorter than the longest allowed, so that a loss shows soon
-    private static final long GRACE_MS = 2000; // past a watch, or for a call without one
-    private static final long AGAIN_FIRST_MS = 100; // after a failed call; doubled
-    private static final long AGAIN_MOST_MS = 2000;
+    // A change counts as told 6 s after discovery had it and could be reached, whatever became of a call. Within that time a
+    // watch that fell silent is given up and a few further calls may fail: 2 + 1.2 s, then calls of 1.2 s each.
+    private static final long HOLD_MS = 2000; // a watch
+    private static final long GRACE_MS = 1200; // past a watch, or for a call without one
+    private static final long AGAIN_FIRST_MS = 100; // after a failed call; doubled, and up to half as much more by chance
+    private static final long AGAIN_MOST_MS = 400;
+    private static final int CONNECTIONS_MOST = 3; // one that does not come up holds up no later call
     private static final int BODY_MOST = 4 * 1024 * 1024;
 
     private final Vertx vertx;
@@ -35,6 +39,7 @@
     private final Terms terms;
     private final Consumer<ServerList> told;
     private final HttpClient http;
+    private final RandomGenerator chance;
     private InetSocketAddress at;
     private HttpClientRequest out; // the call under way, once it has a connection
     private long askTimer = -1; // a call to come
@@ -45,14 +50,16 @@
     private boolean lost;
     private boolean stopped;
 
-    public Discovery(Vertx vertx, Log log, Terms terms, InetSocketAddress at, Consumer<ServerList> told) {
+    public Discovery(Vertx vertx, Log log, Terms terms, InetSocketAddress at, RandomGenerator chance,
+            Consumer<ServerList> told) {
+        this.chance = chance;
         this.vertx = vertx;
         this.log = log;
         this.terms = terms;
         this.at = at;
         this.told = told;
         http = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) GRACE_MS).setTcpNoDelay(true),
-                new PoolOptions().setHttp1MaxSize(1).setMaxWaitQueueSize(2));
+                new PoolOptions().setHttp1MaxSize(CONNECTIONS_MOST).setMaxWaitQueueSize(CONNECTIONS_MOST));
     }
 
     /** Asks for the whole list, and for its changes from then on; the call under way ends. */
@@ -86,11 +93,11 @@
             out.reset();
             out = null;
         }
-        boolean whole = revision < 0;
-        String uri = whole ? PATH : PATH + "?from=" + revision + "&hold_ms=" + HOLD_MS;
+        long hold = revision < 0 || lost ? 0 : HOLD_MS; // after a loss the first call is to show soon whether it is over
+        String uri = revision < 0 ? PATH : PATH + "?from=" + revision + "&hold_ms=" + hold;
         RequestOptions what = new RequestOptions().setMethod(HttpMethod.GET).setURI(uri)
                 .setHost(at.getAddress().getHostAddress()).setPort(at.getPort());
-        long timer = vertx.setTimer((whole ? 0 : HOLD_MS) + GRACE_MS, x -> failed(mine, "no answer"));
+        long timer = vertx.setTimer(hold + GRACE_MS, x -> failed(mine, "no answer"));
         http.request(what).compose(r -> {
             if (mine != call) {
                 r.reset(); // a call made since then has taken its place
@@ -181,7 +188,7 @@
             lostAt = System.nanoTime() / 1_000_000;
             log.line("discovery lost: " + why);
         }
-        askIn(again);
+        askIn(again + chance.nextLong(again / 2)); // so that gateways that lost it together do not all come back at once
         again = Math.min(AGAIN_MOST_MS, again * 2);
     }
 }
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import ploverdale.budgets.Sharing;
@@ -75,7 +76,7 @@
             clients.past(past);
             fleet.whenHeard(past::ended);
         }
-        discovery = new Discovery(vertx, log, file.terms(), file.discovery(), this::listed);
+        discovery = new Discovery(vertx, log, file.terms(), file.discovery(), new SplittableRandom(file.seed()), this::listed);
     }
 
     private PeerSide peers() {
@@ -206,7 +207,9 @@
         if (past != null) {
             past.sent(a.op());
         }
-        servers.send(a.op(), a.server(), a.timeLimit(), waitMs -> PgCodec.ask(t.ask(), waitMs),
+        // Guards against a send that waited for its connection: its client may have gone, a position may have aged.
+        servers.send(a.op(), a.server(), a.timeLimit(),
+                () -> clients.taken(a.op()) == t && LogicLoop.Clock.now() <= a.writeBy(), waitMs -> PgCodec.ask(t.ask(), waitMs),
                 outcome -> sendEnded(a.op(), number, a.server(), outcome));
     }
 
@@ -287,14 +290,17 @@
         clients.answerAllBy(LogicLoop.Clock.now() + departure.answersBy() * 10);
         loop.tell(new Happening.Leaving());
         // Guards against ops from before the word to leave whose own timeouts are later than the end.
-        vertx.setTimer(departure.answersBy(), x -> loop.tell(new Happening.LastMoment()));
+        vertx.setTimer(departure.answersBy(), x -> {
+            loop.tell(new Happening.LastMoment());
+            clients.refuseUnfinished();
+        });
         if (fleet != null) {
             fleet.leaves();
         }
         clients.whenAsked(now -> departure.asked(now - began));
         vertx.setPeriodic(LOOK_MS, x -> {
             long passed = System.nanoTime() / 1_000_000 - began;
-            switch (departure.at(passed, clients.greeted(), clients.opsInHand())) {
+            switch (departure.at(passed, clients.greeted() + clients.parting(), clients.opsInHand())) {
                 case ENDS -> clients.endIdle();
                 case OVER -> {
                     log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered, "
--- a/gateway/src/main/java/ploverdale/net/LogicLoop.java
+++ b/gateway/src/main/java/ploverdale/net/LogicLoop.java
@@ -37,6 +37,7 @@
     }
 
     private static final long TICK_MS = 10;
+    private static final long READ_ON_MS = 1; // after a standstill, for what came during it
     private static final long STANDSTILL_MS = 250; // of the loop; half of what answers may be late
 
     private final Vertx vertx;
@@ -87,12 +88,19 @@
         }
     }
 
-    /** Queues what happened; the module hears of it right after what is being read now. */
+    /**
+     * Queues what happened; the module hears of it right after what is being read now. Guards against ops sent for clients
+     * that went while this loop stood still: their requests are read first, their closes in the turn after it.
+     */
     public void tell(Happening h) {
         queue.add(h);
         if (!due) {
             due = true;
-            context.runOnContext(x -> drain());
+            if (behind() > 0) {
+                vertx.setTimer(READ_ON_MS, x -> drain());
+            } else {
+                context.runOnContext(x -> drain());
+            }
         }
     }
 
--- a/gateway/src/main/java/ploverdale/net/ServerSide.java
+++ b/gateway/src/main/java/ploverdale/net/ServerSide.java
@@ -96,6 +96,7 @@
     private final class Sending {
         private final OpId op;
         private final Server server;
+        private final BooleanSupplier wanted; // right before it is written
         private final Text text;
         private final Ear ear;
         private final long startedAt = Clock.now();
@@ -105,7 +106,8 @@
         private Reach reach = Reach.NO_CONNECTION;
         private boolean over;
 
-        private Sending(OpId op, Server server, long limit, Text text, Ear ear) {
+        private Sending(OpId op, Server server, long limit, BooleanSupplier wanted, Text text, Ear ear) {
+            this.wanted = wanted;
             this.op = op;
             this.server = server;
             this.limit = limit;
@@ -137,10 +139,13 @@
         }
     }
 
-    /** Writes the text to the server on a free connection, or on a new one; the limit is in tenths of a ms. */
-    public void send(OpId op, ServerId id, long limit, Text text, Ear ear) {
+    /**
+     * Writes the text to the server on a free connection, or on a new one; the limit is in tenths of a ms. It counts as never
+     * sent if it is not wanted any more when its connection is there.
+     */
+    public void send(OpId op, ServerId id, long limit, BooleanSupplier wanted, Text text, Ear ear) {
         Server s = servers.computeIfAbsent(id, Server::new);
-        Sending x = new Sending(op, s, limit, text, ear);
+        Sending x = new Sending(op, s, limit, wanted, text, ear);
         if (op != null) {
             byOp.put(op, x);
         }
@@ -215,7 +220,7 @@
 
     /** A probe: how the server is, in as long as a connection may take to make. */
     public void probe(ServerId id, Ear ear) {
-        send(null, id, terms.connectLimit(), waitMs -> PgCodec.probe(terms.reportsInProbes()), ear);
+        send(null, id, terms.connectLimit(), () -> true, waitMs -> PgCodec.probe(terms.reportsInProbes()), ear);
     }
 
     /** Stops waiting for the op's send, if one is out. */
@@ -406,6 +411,12 @@
         }
 
         private void write(Sending x) {
+            if (!x.wanted.getAsBoolean()) {
+                x.on = this;
+                x.end(Ending.NEVER_SENT, null, null, null);
+                free();
+                return;
+            }
             sending = x;
             rested = false;
             rest = idleSince == 0 ? -1 : Clock.now() - idleSince;
--- a/gateway/src/main/java/ploverdale/room/Room.java
+++ b/gateway/src/main/java/ploverdale/room/Room.java
@@ -60,6 +60,11 @@
         return clients;
     }
 
+    /** How many connections may be on their way out beside those that count as held. */
+    public int crossing() {
+        return crossing;
+    }
+
     public int strangers() {
         return strangers.size();
     }
@@ -112,6 +117,11 @@
         closing++;
     }
 
+    /** A client that has connected is turned away; its descriptor counts until {@link #closed}. */
+    public void turnedAway() {
+        closing++;
+    }
+
     /** A connection to a server is being opened. */
     public void opened() {
         servers++;
--- /dev/null
+++ b/gateway/src/test/java/ploverdale/EndingsTest.java
@@ -0,0 +1,184 @@
+package ploverdale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import ploverdale.FakeHost.Client;
+import ploverdale.FakeHost.Got;
+import ploverdale.FakeHost.Net;
+import ploverdale.FakeHost.Server;
+
+/** Stories of what meets an end: each holds one side back until the event that it is to meet. docs/endings.md has them in order. */
+@Timeout(120)
+class EndingsTest {
+    private static final String ROW_7 = "row 07 ready";
+    private static final long TOLD_WITHIN_MS = 6000; // after discovery had a change and could be reached
+
+    private static Buffer begun(int length) {
+        return Buffer.buffer().appendByte((byte) 'Q').appendInt(length).appendString("SELECT");
+    }
+
+    private static long since(long began) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+    }
+
+    @Test
+    void aClientThatAskedForMuchAtOnceAndWentIsSeenToHaveGone() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Server p = net.servers.get("p");
+            Client c = net.client();
+            for (int i = 0; i < 60; i++) {
+                c.ask(net.op("order"));
+                Thread.sleep(2); // so that each is read by itself
+            }
+            List<Got> out = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                out.add(p.next()); // as many as are taken before the first answer
+            }
+            long gone = System.nanoTime();
+            c.close();
+            for (Got g : out) {
+                g.endedByGateway();
+            }
+            assertThat(since(gone)).as(net::log).isLessThan(5000); // not when their time is up
+            assertThat(p.got).isEmpty();
+        }
+    }
+
+    @Test
+    void whatAClientStillWritesDoesNotTakeBackTheAnswersBeforeAnEnd() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Server p = net.servers.get("p");
+            Client c = new Client(net.gateway.port(), 4000).greeted(); // takes little at a time
+            c.ask(net.op("order"));
+            Got g = p.next();
+            Thread writes = new Thread(() -> {
+                try {
+                    c.write(Buffer.buffer().appendByte((byte) '?').appendInt(4));
+                    for (int i = 0; i < 2000; i++) {
+                        c.write(Buffer.buffer(new byte[100_000]));
+                    }
+                } catch (IOException e) {
+                    return; // what it writes is of no use to anybody
+                }
+            });
+            writes.start();
+            net.logged("bad input from a client");
+            g.row(new byte[60_000]);
+            Thread.sleep(200); // the gateway has written its last by now, and most of it is still on its way
+            assertThat(c.answer()).as(net::log).isEqualTo("row " + "00".repeat(60_000) + " ready");
+            assertThat(c.answer()).isEqualTo("08P01 closed");
+            assertThat(c.howItEnds()).as(net::log).isEqualTo("end");
+            c.close();
+            writes.join(TimeUnit.SECONDS.toMillis(Net.PATIENCE_S));
+        }
+    }
+
+    @Test
+    void aSendThatWaitsForItsConnectionIsNotWrittenForAClientThatHasGone() throws Exception {
+        try (Net net = new Net("p")) {
+            net.settings = told -> told.replace("\"cancel\":true", "\"cancel\":false"); // nothing may be called off here
+            net.started();
+            Server p = net.servers.get("p");
+            Client other = net.client().ask(net.op("order"));
+            Got first = p.next(); // has the connection that the probe opened
+            p.holdsGreetings = new CountDownLatch(1);
+            p.connects.clear();
+            Client c = net.client().ask(net.op("order"));
+            assertThat(p.connects.poll(Net.PATIENCE_S, TimeUnit.SECONDS)).isNotNull();
+            c.close();
+            other.ask(net.op("order"));
+            first.row(new byte[] {7}); // read after the close
+            assertThat(other.answer()).isEqualTo(ROW_7);
+            p.holdsGreetings.countDown();
+            Got next = p.next();
+            assertThat(next.text()).contains("id=3,");
+            next.row(new byte[] {7});
+            assertThat(other.answer()).isEqualTo(ROW_7);
+            assertThat(p.got).isEmpty();
+        }
+    }
+
+    @Test
+    void whatWasAskedAndLeftWhileTheGatewayStoodStillIsNotSentOn() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Server p = net.servers.get("p");
+            CountDownLatch still = new CountDownLatch(1);
+            CountDownLatch on = new CountDownLatch(1);
+            List<Client> left = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                left.add(net.client());
+            }
+            net.gateway.runOnLoop(() -> {
+                still.countDown();
+                try {
+                    on.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            still.await();
+            for (Client c : left) {
+                c.ask(net.op("order")).close();
+            }
+            Thread.sleep(500); // the standstill itself
+            on.countDown();
+            Client c = net.client().ask(net.op("order"));
+            Got g = p.next();
+            assertThat(g.text()).as(net::log).contains("id=b,");
+            g.row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            assertThat(p.got).isEmpty();
+        }
+    }
+
+    @Test
+    void aMessageInPiecesIsRefusedBeforeAPlannedRestartEnds() throws Exception {
+        try (Net net = new Net("p", "r1").readable()) {
+            net.settings = told -> told.replace("\"deadlineMs\":20000", "\"deadlineMs\":1000"); // it ends after 1.7 s
+            net.started();
+            Client c = net.client();
+            CountDownLatch ended = new CountDownLatch(1);
+            net.gateway.runOnLoop(() -> net.gateway.endPlanned(ended));
+            net.logged("planned restart: 1 connections");
+            c.write(begun(200)); // its own time for being whole, 2.2 s, is later than the end
+            assertThat(c.answer()).as(net::log).isEqualTo("57P03 closed");
+            assertThat(ended.await(Net.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    @Test
+    void aWatchThatFallsSilentAtOnceIsGivenUpInTime() throws Exception {
+        try (Net net = new Net("p", "r1").started()) {
+            net.registry.asked("/registry/instances?from=1&hold_ms=2000"); // never answered
+            long silent = System.nanoTime();
+            net.registry.changes = net.list(2, false, "r1:DRAINING");
+            net.logged("server r1 listed DRAINING");
+            assertThat(since(silent)).as(net::log).isLessThan(TOLD_WITHIN_MS);
+        }
+    }
+
+    @Test
+    void whatDiscoveryHasAtItsReturnIsHeardInTimeHoweverLongItWasAway() throws Exception {
+        try (Net net = new Net("p", "r1").started()) {
+            net.registry.asked("/registry/instances?from=1&hold_ms=2000");
+            net.registry.mute = true;
+            net.logged("discovery lost: no answer");
+            for (int i = 0; i < 5; i++) { // so many further calls have failed
+                assertThat(net.registry.asked.poll(Net.PATIENCE_S, TimeUnit.SECONDS)).as(net::log).isNotNull();
+            }
+            net.registry.changes = net.list(2, false, "r1:DRAINING");
+            net.registry.mute = false;
+            long back = System.nanoTime();
+            net.logged("server r1 listed DRAINING");
+            assertThat(since(back)).as(net::log).isLessThan(2500); // one call that is out and the wait behind it
+        }
+    }
+}
--- a/gateway/src/test/java/ploverdale/LogicTest.java
+++ b/gateway/src/test/java/ploverdale/LogicTest.java
@@ -629,4 +629,26 @@
             fresh.ends(read, 0, "r1", Ending.ACKED, note(Role.REPLICA, fresh.nowMs));
         }
     }
+
+    @Test
+    void aBoundedReadIsToBeWrittenWhileThePositionFitsItsBoundAndOneAtThePrimaryAtAnyTime() {
+        FakeHost h = FakeHost.settled();
+        h.pass(100); // r1 and r2 stand where they stood then, but for what a probe told since
+        OpId read = h.ask(FakeHost.VIEW);
+        Action.Send s = h.acts.stream().filter(a -> a instanceof Action.Send x && x.op().equals(read))
+                .map(a -> (Action.Send) a).findFirst().orElseThrow();
+        assertThat(s.server().text()).startsWith("r");
+        assertThat(s.writeBy()).isEqualTo(100_000 * 10 - 10 + 5000); // a position is rounded down by a millisecond
+        OpId write = h.ask(FakeHost.SUBMIT);
+        assertThat(h.acts.stream().filter(a -> a instanceof Action.Send x && x.op().equals(write))
+                .map(a -> ((Action.Send) a).writeBy())).containsExactly(Long.MAX_VALUE);
+    }
+
+    @Test
+    void aWriteIsGivenUpBeforeItsTimeIsUpSoThatItsAnswerComesInTime() {
+        FakeHost h = FakeHost.settled();
+        OpId write = h.ask(FakeHost.SUBMIT);
+        assertThat(h.acts.stream().filter(a -> a instanceof Action.Send x && x.op().equals(write))
+                .map(a -> ((Action.Send) a).timeLimit())).containsExactly(30_000L - 30_000 / 8);
+    }
 }
