Bounds on what servers say beside answers; slow readers kept as long as an op; ignored SIGHUP told

Found in the review of every path that ends something (docs/endings.md, a table with the story that forces each crossing): - values and notices without end, on a connection that nobody uses too, were bounded by nothing: a thousand beside one answer now end it (ServerSide.message); - a client that reads slowly was closed after 5 s whatever the settings' op timeouts: as long as an op may take, 5 s at least (ClientSide.flush); its story says a shorter op timeout so that it waits no longer than before; - under nohup the JVM leaves SIGHUP ignored, and no new configuration was read without a word: one line at the start now.

--- a/gateway/src/main/java/ploverdale/Main.java
+++ b/gateway/src/main/java/ploverdale/Main.java
@@ -26,6 +26,7 @@
 import ploverdale.toy.ToyClient;
 import ploverdale.toy.ToyServers;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line. Exit codes: 0 done, 1 failed, 2 not understood. */
 public final class Main {
@@ -123,7 +124,9 @@
                 throw new IOException("cannot listen at " + file.listen() + ": " + e.getMessage());
             }
             // Guards against a SIGHUP that would end the program, which is what the JVM does by itself.
-            Signal.handle(new Signal("HUP"), x -> gateway.renew(path()));
+            if (Signal.handle(new Signal("HUP"), x -> gateway.renew(path())) == SignalHandler.SIG_IGN) {
+                log.line("SIGHUP is ignored by what started this program, as nohup does: new configurations will not be read");
+            }
             CountDownLatch ended = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 gateway.runOnLoop(() -> gateway.endPlanned(ended));
--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -19,6 +19,7 @@
 import ploverdale.model.GroupId;
 import ploverdale.model.Happening;
 import ploverdale.model.OpId;
+import ploverdale.model.OpType;
 import ploverdale.model.OpType.Needs;
 import ploverdale.model.OpTypeId;
 import ploverdale.model.SessionId;
@@ -41,7 +42,7 @@
     private static final long SILENT_MS = 20; // for a greeting, once the gateway ends connections
     private static final double TRAFFIC_FADES_MS = 1000;
     private static final long LOAD_MOST = 16 * 1024 * 1024; // see makeLighter
-    private static final long UNREAD_MS = 5000; // for a client to read on, before it is closed
+    private static final long UNREAD_LEAST_MS = 5000; // for a client to read on, or as long as an op may take, before it is closed
 
     /** Who looks up, before the module hears of an op, what the fleet knows of its past; it tells the module of it. */
     interface Past {
@@ -83,6 +84,7 @@
     private final LogicLoop loop;
     private final Terms terms;
     private final Room<Session> room;
+    private final long unreadMs;
     private final Traffic traffic = new Traffic(TRAFFIC_FADES_MS);
     private final Map<OpId, Taken> taken = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
@@ -102,6 +104,8 @@
         this.loop = loop;
         this.terms = terms;
         this.room = room;
+        unreadMs = Math.max(UNREAD_LEAST_MS,
+                terms.started().opTypes().stream().mapToLong(OpType::opTimeout).max().orElse(0) / 10);
         vertx.setPeriodic(LOOK_MS, x -> look());
     }
 
@@ -492,8 +496,8 @@
             }
             if (!closed && !unread && socket.writeQueueFull()) {
                 unread = true;
-                long timer = vertx.setTimer(UNREAD_MS, x -> {
-                    log.often("client that does not read", "closed after " + UNREAD_MS + " ms");
+                long timer = vertx.setTimer(unreadMs, x -> {
+                    log.often("client that does not read", "closed after " + unreadMs + " ms");
                     close();
                 });
                 socket.drainHandler(x -> {
--- a/gateway/src/main/java/ploverdale/net/ServerSide.java
+++ b/gateway/src/main/java/ploverdale/net/ServerSide.java
@@ -52,6 +52,7 @@
     private static final int IDLE_PARTS = 5; // an idle connection is closed with a fifth of its time left
     private static final int SURPLUS_PARTS = 8; // of that time, for one where another is idle, too
     private static final int TOLD_MOST = 64; // a bound on memory; an answer tells a few
+    private static final int BESIDE_MOST = 1000; // values told and notices beside one answer, or between two
     private static final long AHEAD_MOST = 500; // of the clock, in tenths of a ms; commits are rounded up
     private static final long REST = 50; // after an answer, in tenths of a ms; a close behind it has come by then
     private static final int OPEN_TRIES = 10; // for room
@@ -301,6 +302,7 @@
         private long rest = -1; // before the send that is out; below 0: it is the first
 
         private Sending sending;
+        private int saidBeside;
         private final Map<String, String> told = new HashMap<>();
         private PgCodec.Column column;
         private PgCodec.Value value;
@@ -356,7 +358,11 @@
         }
 
         private void message(PgCodec.FromServer m) {
-            if (m instanceof PgCodec.Garbled g) {
+            // Guards against a server that says ever more and answers nothing, also on a connection that nobody uses.
+            boolean beside = m instanceof PgCodec.Aside || m instanceof PgCodec.Told;
+            if (beside && ++saidBeside > BESIDE_MOST) {
+                outOfOrder(BESIDE_MOST + " values and notices beside an answer");
+            } else if (m instanceof PgCodec.Garbled g) {
                 outOfOrder(g.what());
             } else if (m instanceof PgCodec.Aside) {
                 return;
@@ -423,6 +429,7 @@
             x.on = this;
             x.reach = Reach.IN_DOUBT;
             told.clear();
+            saidBeside = 0;
             column = null;
             value = null;
             done = null;
--- a/gateway/src/test/java/ploverdale/EndingsTest.java
+++ b/gateway/src/test/java/ploverdale/EndingsTest.java
@@ -4,6 +4,8 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -181,4 +183,48 @@
             assertThat(since(back)).as(net::log).isLessThan(2500); // one call that is out and the wait behind it
         }
     }
+
+    @Test
+    void aServerThatTellsEverMoreOnAConnectionThatNobodyUsesLosesIt() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client().ask(net.op("order"));
+            Got g = net.servers.get("p").next();
+            Buffer notices = Buffer.buffer();
+            for (int i = 0; i < 1100; i++) {
+                notices.appendByte((byte) 'N').appendInt(5).appendByte((byte) 0);
+            }
+            g.row(new byte[] {7});
+            assertThat(c.answer()).isEqualTo(ROW_7);
+            Server.write(g.socket(), notices, false);
+            long began = System.nanoTime();
+            g.endedByGateway();
+            assertThat(since(began)).isLessThan(5000); // not when it has been idle for long
+            net.logged("values and notices beside an answer");
+        }
+    }
+
+    @Test
+    void aProcessStartedWhereHangUpsAreIgnoredSaysThatItWillNotReadNewConfigurations() throws Exception {
+        Path file = Files.createTempFile("gateway", ".json");
+        Path log = Files.createTempFile("gateway", ".log");
+        Process gateway = null;
+        try (Net net = new Net("p")) {
+            Files.writeString(file, Net.configuration(net.registry, 256, 30_000));
+            gateway = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$@\"", "sh",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                    System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                    "ploverdale.Main", "serve", "--config", file.toString()).redirectError(log.toFile()).start();
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Net.PATIENCE_S);
+            while (!Files.readString(log).contains("SIGHUP is ignored by what started this program")) {
+                assertThat(System.nanoTime()).as(Files.readString(log)).isLessThan(end);
+                Thread.sleep(20);
+            }
+        } finally {
+            if (gateway != null) {
+                gateway.destroyForcibly();
+            }
+            Files.delete(file);
+            Files.delete(log);
+        }
+    }
 }
