--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -8,14 +8,14 @@
 import ploverdale.hearsay.Word;
 import ploverdale.model.*;
 import ploverdale.model.Allotment.Probing;
-import ploverdale.model.Happening.Ending;
+import ploverdale.model.Event.Ending;
 import ploverdale.model.OpType.Needs;
 import ploverdale.model.OpType.Repeats;
 import ploverdale.model.Telling.Role;
 import ploverdale.state.*;
 
 /**
- * All decisions of one gateway. The host hands each {@link Happening} to {@link #on} with the clock and does
+ * All decisions of one gateway. The host hands each {@link Event} to {@link #on} with the clock and does
  * what the {@link Action}s say, in order. Both are in ploverdale.model, what is held in ploverdale.state, the
  * method in docs/design.md. Times are tenths of a millisecond.
  */
@@ -59,34 +59,34 @@
     }
 
     /** The one way in: takes what happened, returns what is to be done. */
-    public List<Action> on(long time, Happening h) {
+    public List<Action> on(long time, Event h) {
         now = time;
         out = new ArrayList<>();
-        if (h instanceof Happening.OpArrived a) {
+        if (h instanceof Event.OpArrived a) {
             arrived(a);
-        } else if (h instanceof Happening.SendEnded e && members.containsKey(e.server())) {
+        } else if (h instanceof Event.SendEnded e && members.containsKey(e.server())) {
             sendEnded(e);
-        } else if (h instanceof Happening.WakeUp) {
+        } else if (h instanceof Event.WakeUp) {
             beat();
-        } else if (h instanceof Happening.ProbeEnded e && members.containsKey(e.server())) {
+        } else if (h instanceof Event.ProbeEnded e && members.containsKey(e.server())) {
             probeEnded(e);
-        } else if (h instanceof Happening.ListTold l) {
+        } else if (h instanceof Event.ListTold l) {
             listTold(l);
-        } else if (h instanceof Happening.ClientLeft c && ops.containsKey(c.op())) {
+        } else if (h instanceof Event.ClientLeft c && ops.containsKey(c.op())) {
             callOff(ops.remove(c.op()));
-        } else if (h instanceof Happening.PeerMessage p && hearsay != null) {
+        } else if (h instanceof Event.PeerMessage p && hearsay != null) {
             heard(p);
-        } else if (h instanceof Happening.Leaving && hearsay != null) {
+        } else if (h instanceof Event.ShutdownBegun && hearsay != null) {
             tell(hearsay.leaves(now));
-        } else if (h instanceof Happening.LastMoment) {
+        } else if (h instanceof Event.ShutdownDeadline) {
             List.copyOf(ops.values()).forEach(this::giveUp);
-        } else if (h instanceof Happening.Started s) {
+        } else if (h instanceof Event.Started s) {
             started(s);
         }
         return out;
     }
 
-    private void started(Happening.Started s) {
+    private void started(Event.Started s) {
         chance = new SplittableRandom(s.seed());
         int gateways = Math.max(1, s.gateways());
         allotment = allotment != null ? allotment : new Apart(s.tenants(), gateways);
@@ -115,7 +115,7 @@
         beat();
     }
 
-    private void listTold(Happening.ListTold told) {
+    private void listTold(Event.ListTold told) {
         if (told.failed()) {
             askListAt = now + 500 * MS + chance.nextInt(1000) * MS; // by chance, so that gateways don't meet
             return;
@@ -172,7 +172,7 @@
         }
     }
 
-    private void arrived(Happening.OpArrived a) {
+    private void arrived(Event.OpArrived a) {
         OpType type = opTypes.get(a.type().index());
         long target = now + type.latencyTarget() + (long) (type.targetPerWork() * a.expectedWork())
                 - (a.again() ? (long) (COME_BACK * type.latencyTarget()) : 0); // spent on the earlier try
@@ -189,7 +189,7 @@
     }
 
     /** A session's last write, as the position its reads must reach; others have none that stands still. */
-    private long needPosition(Happening.OpArrived a, OpType type) {
+    private long needPosition(Event.OpArrived a, OpType type) {
         boolean none = type.needs() != Needs.SESSION || copies.tokensCarried() && a.tokenAge() == 0;
         return none ? Telling.UNTOLD
                 : copies.tokensCarried() ? now - a.tokenAge() : sessionWrites.of(a.session());
@@ -419,7 +419,7 @@
         m.coldCredit -= op.pace.usual;
     }
 
-    private void sendEnded(Happening.SendEnded e) {
+    private void sendEnded(Event.SendEnded e) {
         Member m = members.get(e.server());
         Op op = m.out.remove(e.op());
         learnRole(m, e.note(), now);
@@ -544,7 +544,7 @@
         return pick != null && probe(pick, Probing.ASKED);
     }
 
-    private void probeEnded(Happening.ProbeEnded e) {
+    private void probeEnded(Event.ProbeEnded e) {
         Member m = members.get(e.server());
         long heardBefore = Math.max(m.aliveAt, m.positionToldAt); // by anyone; else the list's word does
         heardBefore = heardBefore == Telling.UNTOLD ? now : Math.max(m.silentSince, heardBefore);
@@ -669,7 +669,7 @@
                 m.stage == Listing.Stage.DRAINING ? m.drainTold : Telling.UNTOLD);
     }
 
-    private void heard(Happening.PeerMessage p) {
+    private void heard(Event.PeerMessage p) {
         Hearsay.Heard h = hearsay.hears(now, p.from(), p.bytes());
         h.words().forEach((id, w) -> believe(members.get(id), w));
         tell(h.letters());
@@ -729,7 +729,7 @@
     private static final double PRESSURE_WANTED = 0.35; // mean latency as part of the target; tails are long
     private static final double LIMIT_STEP = 0.2; // an answer; the limit moves by a fifth in a round trip
 
-    private void learnHealth(Member m, Op op, Happening.SendEnded e) {
+    private void learnHealth(Member m, Op op, Event.SendEnded e) {
         Ending ending = e.ending();
         if (ending == Ending.NOT_CONNECTED) {
             // Guards against networks that reset by chance: refusals in a row or slow ones are the server's.
--- a/gateway/src/main/java/ploverdale/benchlink/BenchLink.java
+++ b/gateway/src/main/java/ploverdale/benchlink/BenchLink.java
@@ -22,8 +22,8 @@
 import ploverdale.budgets.Sharing;
 import ploverdale.fleet.Packing;
 import ploverdale.model.Action;
-import ploverdale.model.Happening;
-import ploverdale.model.Happening.Started;
+import ploverdale.model.Event;
+import ploverdale.model.Event.Started;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.terms.Fields;
@@ -132,7 +132,7 @@
                 } else if (host != null && host.shared() != null && name.equals("DATAGRAM") && sharedHears(g, gateway, host, f)) {
                     return;
                 } else if (host != null) {
-                    tell(g, now, gateway, host, happening(name, f, host.reader()));
+                    tell(g, now, gateway, host, event(name, f, host.reader()));
                 } else if (!stopped.contains(gateway)) {
                     throw new Unreadable(name + " with a field gateway that names one never started: " + gateway);
                 }
@@ -163,16 +163,16 @@
         }
     }
 
-    private Happening happening(String name, Fields f, Reader reader) {
+    private Event event(String name, Fields f, Reader reader) {
         return switch (name) {
             case "ANNOUNCE" -> reader.listTold(f, ledgerOf(f));
             case "REQ" -> reader.opArrived(f);
             case "STARTED" -> reader.answerBegun(f);
             case "RESPONSE" -> reader.sendEnded(f);
-            case "VANISHED" -> new Happening.ClientLeft(new OpId(f.text("ref")));
-            case "ALARM" -> new Happening.WakeUp(f.whole("tag"));
+            case "VANISHED" -> new Event.ClientLeft(new OpId(f.text("ref")));
+            case "ALARM" -> new Event.WakeUp(f.whole("tag"));
             case "PING_RESULT" -> reader.probeEnded(f);
-            default -> new Happening.PeerMessage((int) f.whole("from"), Reader.bytes(f.text("body")));
+            default -> new Event.PeerMessage((int) f.whole("from"), Reader.bytes(f.text("body")));
         };
     }
 
@@ -187,11 +187,11 @@
         return rows;
     }
 
-    private static void tell(JsonGenerator g, long now, String gateway, Host host, Happening happening)
+    private static void tell(JsonGenerator g, long now, String gateway, Host host, Event event)
             throws IOException {
         List<Action> actions;
         try {
-            actions = host.logic().on(now, happening);
+            actions = host.logic().on(now, event);
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
             Writer.broken(g, gateway, e + (trace.length > 0 ? " at " + trace[0] : ""));
--- a/gateway/src/main/java/ploverdale/benchlink/Reader.java
+++ b/gateway/src/main/java/ploverdale/benchlink/Reader.java
@@ -4,8 +4,8 @@
 import java.util.HexFormat;
 import java.util.List;
 import ploverdale.model.GroupId;
-import ploverdale.model.Happening;
-import ploverdale.model.Happening.Ending;
+import ploverdale.model.Event;
+import ploverdale.model.Event.Ending;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.OpTypeId;
@@ -19,7 +19,7 @@
 import ploverdale.terms.Terms;
 import ploverdale.terms.Unreadable;
 
-/** Turns one gateway's wire events into happenings. Holds what the wire needs to be read. */
+/** Turns one gateway's wire events into those of the module. Holds what the wire needs to be read. */
 final class Reader {
     private final Terms terms;
     private final int positionField;
@@ -33,7 +33,7 @@
         busyField = terms.reportFields().indexOf("busy");
     }
 
-    Happening.Started started() {
+    Event.Started started() {
         return terms.started();
     }
 
@@ -68,17 +68,17 @@
         return rows;
     }
 
-    Happening listTold(Fields f, List<Listing> rows) {
+    Event listTold(Fields f, List<Listing> rows) {
         String how = f.text("how");
-        return new Happening.ListTold(how.equals("whole") || how.equals("stale_copy"), how.equals("broken"), rows);
+        return new Event.ListTold(how.equals("whole") || how.equals("stale_copy"), how.equals("broken"), rows);
     }
 
-    Happening opArrived(Fields f) {
+    Event opArrived(Fields f) {
         int type = (int) f.whole("grade");
         if (type < 0 || type >= terms.started().opTypes().size()) {
             throw new Unreadable("REQ with a field grade that names no class");
         }
-        return new Happening.OpArrived(new OpId(f.text("ref")), new OpTypeId(type),
+        return new Event.OpArrived(new OpId(f.text("ref")), new OpTypeId(type),
                 new TenantId((int) f.whole("realm", 0)), new GroupId((long) f.number("setNo", 0)),
                 f.has("connKey") ? new SessionId(f.text("connKey")) : null, Fields.down(f.number("dropDeadMs")),
                 f.mark("againByClient"), Fields.down(f.number("hintMs", 0)), tokenAge(f.number("tokenAgeMs", 0)));
@@ -89,12 +89,12 @@
         return ms > 0 ? Math.max(1, Fields.down(ms)) : 0;
     }
 
-    Happening answerBegun(Fields f) {
-        return new Happening.AnswerBegun(new OpId(f.text("ref")), (int) f.whole("roundNo"),
+    Event answerBegun(Fields f) {
+        return new Event.AnswerBegun(new OpId(f.text("ref")), (int) f.whole("roundNo"),
                 new ServerId(f.text("server")));
     }
 
-    Happening sendEnded(Fields f) {
+    Event sendEnded(Fields f) {
         Telling note = null;
         if (f.has("progress")) {
             long told = f.whole("progress");
@@ -103,13 +103,13 @@
             note = new Telling(role((int) (told & 3)),
                     none ? Telling.UNTOLD : Fields.down(terms.positionZeroMs()) + position * 10);
         }
-        return new Happening.SendEnded(new OpId(f.text("ref")), (int) f.whole("roundNo"),
+        return new Event.SendEnded(new OpId(f.text("ref")), (int) f.whole("roundNo"),
                 new ServerId(f.text("server")), ending(f.text("verdict")), Fields.up(f.number("durationMs")),
                 f.mark("settled"), note, report(f));
     }
 
-    Happening probeEnded(Fields f) {
-        return new Happening.ProbeEnded(new ServerId(f.text("server")), ending(f.text("verdict")), report(f));
+    Event probeEnded(Fields f) {
+        return new Event.ProbeEnded(new ServerId(f.text("server")), ending(f.text("verdict")), report(f));
     }
 
     static byte[] bytes(String hex) {
--- a/gateway/src/main/java/ploverdale/budgets/Shared.java
+++ b/gateway/src/main/java/ploverdale/budgets/Shared.java
@@ -11,7 +11,7 @@
 import ploverdale.fleet.Parcel;
 import ploverdale.hearsay.Datagram;
 import ploverdale.model.Allotment;
-import ploverdale.model.Happening.Started;
+import ploverdale.model.Event.Started;
 import ploverdale.model.ServerId;
 import ploverdale.model.TenantId;
 import ploverdale.replica.Replicas;
--- a/gateway/src/main/java/ploverdale/budgets/Sharing.java
+++ b/gateway/src/main/java/ploverdale/budgets/Sharing.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import ploverdale.budgets.Budget.Kind;
-import ploverdale.model.Happening.Started;
+import ploverdale.model.Event.Started;
 import ploverdale.replica.Keeping;
 
 /**
--- a/gateway/src/main/java/ploverdale/model/Happening.java
+++ b/gateway/src/main/java/ploverdale/model/Event.java
@@ -3,46 +3,46 @@
 import java.util.List;
 
 /** All that can happen to a gateway. Times in tenths of a millisecond. */
-public sealed interface Happening {
+public sealed interface Event {
 
     /** The gateway starts and knows nothing but this; it is number me of the gateways. */
     record Started(
             long seed, int gateways, List<OpType> opTypes, List<Tenant> tenants, double beyondShareValue,
-            Pledges pledges, Permits permits, CopyKeeping copies, boolean listOnDemand, int me) implements Happening {}
+            Pledges pledges, Permits permits, CopyKeeping copies, boolean listOnDemand, int me) implements Event {}
 
     /** The list of servers, whole or its changes; failed when asking for it brought none. */
-    record ListTold(boolean whole, boolean failed, List<Listing> listings) implements Happening {}
+    record ListTold(boolean whole, boolean failed, List<Listing> listings) implements Event {}
 
     /** A client's op; a token age of 0 means that the session has no earlier write. */
     record OpArrived(
             OpId op, OpTypeId type, TenantId tenant, GroupId group, SessionId session, long timeoutAt,
-            boolean again, long expectedWork, long tokenAge) implements Happening {}
+            boolean again, long expectedWork, long tokenAge) implements Event {}
 
     /** The answer to a streamed op has begun. */
-    record AnswerBegun(OpId op, int send, ServerId server) implements Happening {}
+    record AnswerBegun(OpId op, int send, ServerId server) implements Event {}
 
     /** A send has ended; settled when the op has, too. Either telling may be null. */
     record SendEnded(
             OpId op, int send, ServerId server, Ending ending, long took, boolean settled, Telling note,
-            Telling report) implements Happening {}
+            Telling report) implements Event {}
 
     /** The client has gone. */
-    record ClientLeft(OpId op) implements Happening {}
+    record ClientLeft(OpId op) implements Event {}
 
     /** A wake-up that was asked for. */
-    record WakeUp(long mark) implements Happening {}
+    record WakeUp(long mark) implements Event {}
 
     /** A probe has ended; the report may be null. */
-    record ProbeEnded(ServerId server, Ending ending, Telling report) implements Happening {}
+    record ProbeEnded(ServerId server, Ending ending, Telling report) implements Event {}
 
     /** Another gateway's message. */
-    record PeerMessage(int from, byte[] bytes) implements Happening {}
+    record PeerMessage(int from, byte[] bytes) implements Event {}
 
     /** The gateway is about to leave. */
-    record Leaving() implements Happening {}
+    record ShutdownBegun() implements Event {}
 
     /** The gateway ends in a moment: each op in hand is to have its answer now, however long its client would wait. */
-    record LastMoment() implements Happening {}
+    record ShutdownDeadline() implements Event {}
 
     /** How a send ended. Cut off: on the way to a connection, by whom is not known; broken off: after it was sent. */
     enum Ending {
--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -17,7 +17,7 @@
 import ploverdale.handover.Traffic;
 import ploverdale.log.Log;
 import ploverdale.model.GroupId;
-import ploverdale.model.Happening;
+import ploverdale.model.Event;
 import ploverdale.model.OpId;
 import ploverdale.model.OpType;
 import ploverdale.model.OpType.Needs;
@@ -46,7 +46,7 @@
 
     /** Who looks up, before the module hears of an op, what the fleet knows of its past; it tells the module of it. */
     interface Past {
-        void arrives(Happening.OpArrived op, String key);
+        void arrives(Event.OpArrived op, String key);
     }
 
     /** An op in hand. */
@@ -464,7 +464,7 @@
             boolean inSession = ask.key() != null && (needs == Needs.WRITE || needs == Needs.SESSION);
             long tokenAge = ask.afterMs() <= 0 ? 0 : Math.max(1, now - ask.afterMs() * 10); // 0 is the word for none
             long timeoutAt = Math.min(answersBy, now + (long) Math.floor(ask.waitMs() * 10));
-            Happening.OpArrived arrived = new Happening.OpArrived(op, new OpTypeId(type), new TenantId(tenant),
+            Event.OpArrived arrived = new Event.OpArrived(op, new OpTypeId(type), new TenantId(tenant),
                     new GroupId(ask.group()), inSession ? new SessionId(ask.key()) : null, timeoutAt, ask.again(), 0, tokenAge);
             if (past == null) {
                 loop.tell(arrived);
@@ -575,7 +575,7 @@
             for (Slot s : slots) {
                 if (s.op != null && s.answer == null) {
                     lighter(taken.remove(s.op).ask.text().length);
-                    loop.tell(new Happening.ClientLeft(s.op));
+                    loop.tell(new Event.ClientLeft(s.op));
                 }
             }
             slots.clear();
--- a/gateway/src/main/java/ploverdale/net/FleetSide.java
+++ b/gateway/src/main/java/ploverdale/net/FleetSide.java
@@ -7,7 +7,7 @@
 import ploverdale.budgets.Sharing;
 import ploverdale.fleet.Packing;
 import ploverdale.log.Log;
-import ploverdale.model.Happening.Started;
+import ploverdale.model.Event.Started;
 
 /**
  * Owns the clock and the ways of what the fleet agrees on: hands parcels in and out, and looks round. Must never decide who
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -19,7 +19,7 @@
 import ploverdale.handover.Departure;
 import ploverdale.log.Log;
 import ploverdale.model.Action;
-import ploverdale.model.Happening;
+import ploverdale.model.Event;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.OpType;
@@ -149,9 +149,9 @@
     }
 
     /** What the module is told; where the fleet keeps sessions, each op brings how far its reads must reach. */
-    private Happening.Started started() {
-        Happening.Started s = file.terms().started();
-        return past == null ? s : new Happening.Started(s.seed(), s.gateways(), s.opTypes(), s.tenants(), s.beyondShareValue(),
+    private Event.Started started() {
+        Event.Started s = file.terms().started();
+        return past == null ? s : new Event.Started(s.seed(), s.gateways(), s.opTypes(), s.tenants(), s.beyondShareValue(),
                 s.pledges(), s.permits(), past.copies(s.copies()), s.listOnDemand(), s.me());
     }
 
@@ -192,14 +192,14 @@
                 servers.closeIdle(e.listing().server());
             }
         }
-        loop.tell(new Happening.ListTold(list.whole(), false, listings));
+        loop.tell(new Event.ListTold(list.whole(), false, listings));
     }
 
     @Override
     public void send(Action.Send a) {
         ClientSide.Taken t = clients.taken(a.op());
         if (t == null) { // its client has gone while the module was deciding
-            loop.tell(new Happening.SendEnded(a.op(), 0, a.server(), Happening.Ending.NEVER_SENT, 0, true, null, null));
+            loop.tell(new Event.SendEnded(a.op(), 0, a.server(), Event.Ending.NEVER_SENT, 0, true, null, null));
             answered(a.op());
             return;
         }
@@ -223,7 +223,7 @@
             clients.acked(op, o.row());
         }
         boolean settled = o.row() != null || clients.taken(op) == null; // its answer may still wait for copies
-        loop.tell(new Happening.SendEnded(op, number, server, o.ending(), o.took(), settled, o.note(), o.report()));
+        loop.tell(new Event.SendEnded(op, number, server, o.ending(), o.took(), settled, o.note(), o.report()));
     }
 
     @Override
@@ -255,7 +255,7 @@
         servers.probe(a.server(), o -> {
             probesOut--;
             probesEnded++;
-            loop.tell(new Happening.ProbeEnded(a.server(), o.ending(), o.report()));
+            loop.tell(new Event.ProbeEnded(a.server(), o.ending(), o.report()));
         });
     }
 
@@ -288,10 +288,10 @@
         log.line("planned restart: " + clients.sessions() + " connections, " + clients.opsInHand()
                 + " ops in hand, serves on for " + departure.endsBy() + " ms or until few ask");
         clients.answerAllBy(LogicLoop.Clock.now() + departure.answersBy() * 10);
-        loop.tell(new Happening.Leaving());
+        loop.tell(new Event.ShutdownBegun());
         // Guards against ops from before the word to leave whose own timeouts are later than the end.
         vertx.setTimer(departure.answersBy(), x -> {
-            loop.tell(new Happening.LastMoment());
+            loop.tell(new Event.ShutdownDeadline());
             clients.refuseUnfinished();
         });
         if (fleet != null) {
--- a/gateway/src/main/java/ploverdale/net/LogicLoop.java
+++ b/gateway/src/main/java/ploverdale/net/LogicLoop.java
@@ -9,10 +9,10 @@
 import ploverdale.log.Log;
 import ploverdale.model.Action;
 import ploverdale.model.Allotment;
-import ploverdale.model.Happening;
+import ploverdale.model.Event;
 
 /**
- * Sole owner of the decision module: takes happenings from a queue, hands each to the module with the clock,
+ * Sole owner of the decision module: takes events from a queue, hands each to the module with the clock,
  * has the actions carried out in order, and keeps the wake-ups. Must never choose, drop or reorder anything,
  * and must never let the module see the clock go back or a wake-up come early.
  */
@@ -45,7 +45,7 @@
     private final Log log;
     private final Hands hands;
     private final Logic logic;
-    private final Deque<Happening> queue = new ArrayDeque<>();
+    private final Deque<Event> queue = new ArrayDeque<>();
     private boolean due;
     private long lastTick = Clock.now();
     private long tickBefore = lastTick;
@@ -92,7 +92,7 @@
      * Queues what happened; the module hears of it right after what is being read now. Guards against ops sent for clients
      * that went while this loop stood still: their requests are read first, their closes in the turn after it.
      */
-    public void tell(Happening h) {
+    public void tell(Event h) {
         queue.add(h);
         if (!due) {
             due = true;
@@ -111,14 +111,14 @@
 
     private void drain() {
         due = false;
-        for (Happening h = queue.poll(); h != null; h = queue.poll()) {
+        for (Event h = queue.poll(); h != null; h = queue.poll()) {
             try {
                 for (Action a : logic.on(Clock.now(), h)) {
                     act(a);
                 }
             } catch (RuntimeException e) {
                 log.fault("module fault on " + h.getClass().getSimpleName(), e);
-                if (h instanceof Happening.OpArrived a) {
+                if (h instanceof Event.OpArrived a) {
                     hands.errorReply(new Action.ErrorReply(a.op())); // an op taken is answered all the same
                 }
             }
@@ -155,7 +155,7 @@
             if (Clock.now() < wake.at()) {
                 wakeAt(wake);
             } else {
-                tell(new Happening.WakeUp(wake.mark()));
+                tell(new Event.WakeUp(wake.mark()));
             }
         });
     }
--- a/gateway/src/main/java/ploverdale/net/PeerSide.java
+++ b/gateway/src/main/java/ploverdale/net/PeerSide.java
@@ -13,7 +13,7 @@
 import java.util.function.BiPredicate;
 import ploverdale.log.Log;
 import ploverdale.model.Action;
-import ploverdale.model.Happening;
+import ploverdale.model.Event;
 
 /**
  * Owns the one datagram socket to the other instances: tells the module what came and from whom, and sends what the
@@ -67,7 +67,7 @@
             return;
         }
         heard = true;
-        loop.tell(new Happening.PeerMessage(from, bytes));
+        loop.tell(new Event.PeerMessage(from, bytes));
     }
 
     /** Whether any other instance has spoken. */
--- a/gateway/src/main/java/ploverdale/net/ServerSide.java
+++ b/gateway/src/main/java/ploverdale/net/ServerSide.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import ploverdale.log.Log;
-import ploverdale.model.Happening.Ending;
+import ploverdale.model.Event.Ending;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
 import ploverdale.model.Telling;
--- a/gateway/src/main/java/ploverdale/state/Op.java
+++ b/gateway/src/main/java/ploverdale/state/Op.java
@@ -1,6 +1,6 @@
 package ploverdale.state;
 
-import ploverdale.model.Happening.OpArrived;
+import ploverdale.model.Event.OpArrived;
 import ploverdale.model.OpType;
 
 /** All that this gateway holds about one op. Times in tenths of a millisecond. */
--- a/gateway/src/main/java/ploverdale/terms/Terms.java
+++ b/gateway/src/main/java/ploverdale/terms/Terms.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import ploverdale.model.CopyKeeping;
-import ploverdale.model.Happening;
+import ploverdale.model.Event;
 import ploverdale.model.OpType;
 import ploverdale.model.Permits;
 import ploverdale.model.Pledges;
@@ -16,7 +16,7 @@
  * module is started with, and what is needed to read names, reports and notes. Chooses nothing.
  */
 public final class Terms {
-    private final Happening.Started started;
+    private final Event.Started started;
     private final double positionZeroMs;
     private final boolean positionsInNotes;
     private final List<String> reportFields;
@@ -45,7 +45,7 @@
     }
 
     /** What the module is started with. */
-    public Happening.Started started() {
+    public Event.Started started() {
         return started;
     }
 
@@ -107,7 +107,7 @@
         return List.copyOf(names);
     }
 
-    private static Happening.Started started(long seed, Fields all, Fields special) {
+    private static Event.Started started(long seed, Fields all, Fields special) {
         List<Object> needs = special.list("classRead");
         List<Object> bounds = special.list("oldestDataMs");
         List<OpType> types = new ArrayList<>();
@@ -135,7 +135,7 @@
                 limits.mark("peerMessages"));
         CopyKeeping copies = new CopyKeeping(checks(special.text("checks", "silent")),
                 Fields.down(special.number("waitMs", 0)), special.text("tokens", "").equals("brought"));
-        return new Happening.Started(seed, (int) all.whole("balancers", 1), types, tenants,
+        return new Event.Started(seed, (int) all.whole("balancers", 1), types, tenants,
                 all.number("overShareWorth", 1), pledges, permits, copies,
                 all.text("discovery", "").equals("subscribe"), (int) all.whole("selfIndex", 0));
     }
--- a/gateway/src/test/java/ploverdale/FakeHost.java
+++ b/gateway/src/test/java/ploverdale/FakeHost.java
@@ -33,8 +33,8 @@
 import ploverdale.model.Action;
 import ploverdale.model.CopyKeeping;
 import ploverdale.model.GroupId;
-import ploverdale.model.Happening;
-import ploverdale.model.Happening.Ending;
+import ploverdale.model.Event;
+import ploverdale.model.Event.Ending;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.OpType;
@@ -90,7 +90,7 @@
                 type(Repeats.NON_RETRYABLE, Needs.WRITE, 0.5), type(Repeats.TOKENED, Needs.WRITE, 0.7),
                 type(Repeats.RETRYABLE, Needs.SESSION, 0), type(Repeats.RETRYABLE, Needs.FRESH, 0),
                 type(20_000, Repeats.RETRYABLE, Needs.UNBOUNDED, 0));
-        tell(new Happening.Started(6 + gateways, gateways, types, List.of(new Tenant(100)), 0.05,
+        tell(new Event.Started(6 + gateways, gateways, types, List.of(new Tenant(100)), 0.05,
                 new Pledges(0.2, 160_000, 2.5, 10_000, removalBinds, 0), new Permits(6, true, true, true, 10_000, talks),
                 new CopyKeeping(checks, 500, tokensCarried), false, 0));
     }
@@ -128,7 +128,7 @@
         probed("r2", Role.REPLICA, was);
     }
 
-    List<Action> tell(Happening h) {
+    List<Action> tell(Event h) {
         List<Action> now = logic.on(nowMs * 10, h);
         acts.addAll(now);
         return now;
@@ -139,11 +139,11 @@
         for (String s : servers) {
             rows.add(row(s, Listing.Stage.IN, 0));
         }
-        tell(new Happening.ListTold(whole, false, rows));
+        tell(new Event.ListTold(whole, false, rows));
     }
 
     void listed(String server, Listing.Stage stage, long startedMs) {
-        tell(new Happening.ListTold(false, false, List.of(row(server, stage, startedMs))));
+        tell(new Event.ListTold(false, false, List.of(row(server, stage, startedMs))));
     }
 
     private static Listing row(String server, Listing.Stage stage, long startedMs) {
@@ -154,16 +154,16 @@
     void pass(long ms) {
         for (long end = nowMs + ms; nowMs < end; ) {
             nowMs = Math.min(end, nowMs + 20);
-            tell(new Happening.WakeUp(0));
+            tell(new Event.WakeUp(0));
         }
     }
 
     void probed(String server, Role role, long positionMs) {
-        tell(new Happening.ProbeEnded(new ServerId(server), Ending.ACKED, new Telling(role, positionMs * 10)));
+        tell(new Event.ProbeEnded(new ServerId(server), Ending.ACKED, new Telling(role, positionMs * 10)));
     }
 
     void unanswered(String server) {
-        tell(new Happening.ProbeEnded(new ServerId(server), Ending.TIMED_OUT, null));
+        tell(new Event.ProbeEnded(new ServerId(server), Ending.TIMED_OUT, null));
     }
 
     OpId ask(int type) {
@@ -172,14 +172,14 @@
 
     OpId ask(int type, String session, long tokenAgeMs) {
         OpId op = new OpId("op" + names++);
-        tell(new Happening.OpArrived(op, new OpTypeId(type), new TenantId(0), new GroupId(1),
+        tell(new Event.OpArrived(op, new OpTypeId(type), new TenantId(0), new GroupId(1),
                 session == null ? null : new SessionId(session), nowMs * 10 + 30_000, false, 0, tokenAgeMs * 10));
         return op;
     }
 
     void ends(OpId op, int send, String server, Ending ending, Telling note) {
         boolean settled = ending == Ending.ACKED;
-        tell(new Happening.SendEnded(op, send, new ServerId(server), ending, 1000, settled, note, null));
+        tell(new Event.SendEnded(op, send, new ServerId(server), ending, 1000, settled, note, null));
     }
 
     /** Servers the op was sent to, in order. */
--- a/gateway/src/test/java/ploverdale/HearsayInLogicTest.java
+++ b/gateway/src/test/java/ploverdale/HearsayInLogicTest.java
@@ -9,8 +9,8 @@
 import ploverdale.hearsay.Datagram.Kind;
 import ploverdale.hearsay.Word;
 import ploverdale.model.Action;
-import ploverdale.model.Happening;
-import ploverdale.model.Happening.Ending;
+import ploverdale.model.Event;
+import ploverdale.model.Event.Ending;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
 import ploverdale.model.Telling;
@@ -30,7 +30,7 @@
     }
 
     private void told(int from, String server, Word w) {
-        host.tell(new Happening.PeerMessage(from, new Datagram(Kind.TELLS, host.nowMs * 10,
+        host.tell(new Event.PeerMessage(from, new Datagram(Kind.TELLS, host.nowMs * 10,
                 Map.of(Datagram.number(new ServerId(server)), w)).bytes()));
     }
 
@@ -66,7 +66,7 @@
         many.list(true, "p", "r1", "r2");
         assertThat(many.probes("p")).isZero();
         many.probed("r1", Role.REPLICA, many.nowMs);
-        many.tell(new Happening.PeerMessage(1, new Datagram(Kind.TELLS, many.nowMs * 10, Map.of(Datagram.number(
+        many.tell(new Event.PeerMessage(1, new Datagram(Kind.TELLS, many.nowMs * 10, Map.of(Datagram.number(
                 new ServerId("p")), word(Role.PRIMARY, many.nowMs, many.nowMs, many.nowMs, -1))).bytes()));
         many.nowMs += 1200; // r1 is too old by now
         many.probed("r1", Role.REPLICA, many.nowMs - 1200);
@@ -76,8 +76,8 @@
         assertThat(many.sends(op)).containsExactly("p");
     }
 
-    private Happening.PeerMessage heardByOthers(FakeHost h, String server, Role role) {
-        return new Happening.PeerMessage(1, new Datagram(Kind.TELLS, h.nowMs * 10, Map.of(Datagram.number(
+    private Event.PeerMessage heardByOthers(FakeHost h, String server, Role role) {
+        return new Event.PeerMessage(1, new Datagram(Kind.TELLS, h.nowMs * 10, Map.of(Datagram.number(
                 new ServerId(server)), word(role, h.nowMs, h.nowMs, h.nowMs, -1))).bytes());
     }
 
@@ -216,7 +216,7 @@
         assertThat(tells()).hasSize(2).allMatch(t -> Datagram.read(t.bytes()).datagram().kind() == Kind.ASKS);
         host.levelled("p", "r1");
         host.acts.clear();
-        host.tell(new Happening.PeerMessage(2, new Datagram(Kind.ASKS, host.nowMs * 10, Map.of()).bytes()));
+        host.tell(new Event.PeerMessage(2, new Datagram(Kind.ASKS, host.nowMs * 10, Map.of()).bytes()));
         assertThat(tells()).hasSize(1);
         Map<Integer, Word> words = Datagram.read(tells().get(0).bytes()).datagram().words();
         assertThat(words.get(Datagram.number(new ServerId("p"))).role()).isEqualTo(Role.PRIMARY);
@@ -237,7 +237,7 @@
         assertThat(tells()).anyMatch(t -> Datagram.read(t.bytes()).datagram().words()
                 .getOrDefault(Datagram.number(new ServerId("r1")), Word.NONE).silent());
         host.acts.clear();
-        host.tell(new Happening.Leaving());
+        host.tell(new Event.ShutdownBegun());
         assertThat(tells()).hasSize(2).allMatch(t -> Datagram.read(t.bytes()).datagram().kind() == Kind.LEAVES);
     }
 
@@ -258,8 +258,8 @@
         quiet.list(true, "p", "r1");
         quiet.levelled("p", "r1");
         int before = quiet.acts.size();
-        quiet.tell(new Happening.PeerMessage(1, new Datagram(Kind.ASKS, quiet.nowMs * 10, Map.of()).bytes()));
-        quiet.tell(new Happening.Leaving());
+        quiet.tell(new Event.PeerMessage(1, new Datagram(Kind.ASKS, quiet.nowMs * 10, Map.of()).bytes()));
+        quiet.tell(new Event.ShutdownBegun());
         assertThat(quiet.acts).hasSize(before);
         quiet.pass(1000);
         assertThat(quiet.acts).noneMatch(a -> a instanceof Action.Tell);
--- a/gateway/src/test/java/ploverdale/LogicTest.java
+++ b/gateway/src/test/java/ploverdale/LogicTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import ploverdale.model.Action;
 import ploverdale.model.CopyKeeping;
-import ploverdale.model.Happening;
-import ploverdale.model.Happening.Ending;
+import ploverdale.model.Event;
+import ploverdale.model.Event.Ending;
 import ploverdale.model.Listing.Stage;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
@@ -85,7 +85,7 @@
     void aFullProbeTableIsASignOfLifeAndNoDeadOne() {
         host.nowMs += 3000;
         for (int i = 0; i < 3; i++) {
-            host.tell(new Happening.ProbeEnded(new ServerId("r1"), Ending.FULL, null));
+            host.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.FULL, null));
         }
         assertThat(host.logged("silent")).isFalse();
         assertThat(host.sends(host.ask(FakeHost.HISTORY))).containsExactly("r1");
@@ -102,7 +102,7 @@
             host.acts.removeIf(Action.Wake.class::isInstance);
             host.ask(FakeHost.SUBMIT);
             if (wakes.removeIf(at -> at <= host.nowMs * 10 - 10)) {
-                host.tell(new Happening.WakeUp(0));
+                host.tell(new Event.WakeUp(0));
             }
         }
         assertThat(host.busyReplies(write)).isEqualTo(1);
@@ -112,11 +112,11 @@
     void atTheLastMomentOfAPlannedRestartEachOpInHandIsAnsweredOnceByWhatIsProven() {
         OpId read = host.ask(FakeHost.VIEW);
         OpId write = host.ask(FakeHost.SUBMIT);
-        host.tell(new Happening.SendEnded(host.ask(FakeHost.SUBMIT), 0, new ServerId("p"), Ending.TURNED_AWAY, 10, false,
+        host.tell(new Event.SendEnded(host.ask(FakeHost.SUBMIT), 0, new ServerId("p"), Ending.TURNED_AWAY, 10, false,
                 note(Role.REPLICA, host.nowMs), null));
         OpId held = host.ask(FakeHost.SUBMIT);
         assertThat(host.sends(held)).isEmpty();
-        host.tell(new Happening.LastMoment());
+        host.tell(new Event.ShutdownDeadline());
         assertThat(host.busyReplies(read)).isEqualTo(1); // may be repeated
         assertThat(host.errorReplies(write)).isEqualTo(1); // may have run
         assertThat(host.busyReplies(held)).isEqualTo(1); // was never sent
@@ -201,7 +201,7 @@
         OpId write = host.ask(FakeHost.SUBMIT);
         for (int send = 0; send < 2; send++) {
             assertThat(host.acts).noneMatch(Action.CloseIdle.class::isInstance);
-            host.tell(new Happening.SendEnded(write, send, new ServerId("p"), Ending.NOT_CONNECTED, 10, false, null, null));
+            host.tell(new Event.SendEnded(write, send, new ServerId("p"), Ending.NOT_CONNECTED, 10, false, null, null));
             assertThat(host.probes("p")).isEqualTo(2 + send);
             host.probed("p", Role.PRIMARY, host.nowMs);
         }
@@ -216,7 +216,7 @@
             for (int j = 0; j < 8; j++) {
                 OpId read = host.ask(FakeHost.HISTORY);
                 if (j == 0) {
-                    host.tell(new Happening.SendEnded(read, 0, new ServerId(host.sends(read).get(0)), ending, 100, false,
+                    host.tell(new Event.SendEnded(read, 0, new ServerId(host.sends(read).get(0)), ending, 100, false,
                             null, null));
                 }
                 int last = host.sends(read).size() - 1;
@@ -238,7 +238,7 @@
     void aSlowFailedConnectGivesUpNoIdleConnection() {
         OpId read = host.ask(FakeHost.VIEW);
         String server = host.sends(read).get(0);
-        host.tell(new Happening.SendEnded(read, 0, new ServerId(server), Ending.NOT_CONNECTED, 2500, false, null, null));
+        host.tell(new Event.SendEnded(read, 0, new ServerId(server), Ending.NOT_CONNECTED, 2500, false, null, null));
         host.probed(server, Role.REPLICA, host.nowMs);
         host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.ACKED, null);
         assertThat(host.acts).noneMatch(Action.CloseIdle.class::isInstance);
@@ -259,11 +259,11 @@
     void aBusyServersReadsThinOutWhereOwnAnswersAreOld() {
         FakeHost small = new FakeHost(CopyKeeping.Checks.NONE, false, true, 100);
         small.list(true, "r1");
-        small.tell(new Happening.ProbeEnded(new ServerId("r1"), Ending.ACKED,
+        small.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.ACKED,
                 new Telling(Role.REPLICA, small.nowMs * 10, 1.1)));
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).isEmpty();
         small.nowMs += 200;
-        small.tell(new Happening.ProbeEnded(new ServerId("r1"), Ending.ACKED,
+        small.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.ACKED,
                 new Telling(Role.REPLICA, small.nowMs * 10, 0.5)));
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).containsExactly("r1");
     }
@@ -304,10 +304,10 @@
     @Test
     void whatMakesNoSenseChangesNothing() {
         int before = host.acts.size();
-        host.tell(new Happening.PeerMessage(3, new byte[] {104, 105}));
-        host.tell(new Happening.ProbeEnded(new ServerId("stranger"), Ending.ACKED, note(Role.PRIMARY, host.nowMs)));
+        host.tell(new Event.PeerMessage(3, new byte[] {104, 105}));
+        host.tell(new Event.ProbeEnded(new ServerId("stranger"), Ending.ACKED, note(Role.PRIMARY, host.nowMs)));
         host.ends(new OpId("none"), 0, "stranger", Ending.ACKED, null);
-        host.tell(new Happening.ClientLeft(new OpId("none")));
+        host.tell(new Event.ClientLeft(new OpId("none")));
         assertThat(host.acts).hasSize(before);
         assertThat(host.sends(host.ask(FakeHost.SUBMIT))).containsExactly("p");
     }
@@ -369,7 +369,7 @@
         for (int i = 0; i < 25; i++) {
             OpId scan = host.ask(FakeHost.SCAN);
             host.nowMs += 100;
-            host.tell(new Happening.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)),
+            host.tell(new Event.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)),
                     Ending.ACKED, 9000, true, null, null));
         }
         host.levelled("p", "r1", "r2");
@@ -382,7 +382,7 @@
         for (int i = 0; i < 25; i++) {
             OpId scan = host.ask(FakeHost.SCAN);
             host.nowMs += 100;
-            host.tell(new Happening.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)), Ending.ACKED, 9000, true,
+            host.tell(new Event.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)), Ending.ACKED, 9000, true,
                     null, null));
         }
         host.lagging(1100);
@@ -555,7 +555,7 @@
     void nothingIsSentForAnOpWhoseClientHasLeft() {
         OpId read = host.ask(FakeHost.VIEW);
         String server = host.sends(read).get(0);
-        host.tell(new Happening.ClientLeft(read));
+        host.tell(new Event.ClientLeft(read));
         assertThat(host.calledOff(read)).isTrue();
         host.ends(read, 0, server, Ending.CALLED_OFF, null);
         assertThat(host.sends(read)).hasSize(1);
--- a/gateway/src/test/java/ploverdale/budgets/SharedTest.java
+++ b/gateway/src/test/java/ploverdale/budgets/SharedTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import ploverdale.model.Allotment.Probing;
 import ploverdale.model.CopyKeeping;
-import ploverdale.model.Happening;
+import ploverdale.model.Event;
 import ploverdale.model.OpType;
 import ploverdale.model.Permits;
 import ploverdale.model.Pledges;
@@ -26,7 +26,7 @@
     private Shared settled(Sharing sharing) {
         OpType type = new OpType(5000, 0, 30_000, OpType.Repeats.RETRYABLE, OpType.Scope.GROUP, 0, 1, 0, false,
                 OpType.Needs.UNBOUNDED, 5000);
-        Shared s = new Shared(sharing, new Happening.Started(7, 1, List.of(type), List.of(new Tenant(10)), 0.1,
+        Shared s = new Shared(sharing, new Event.Started(7, 1, List.of(type), List.of(new Tenant(10)), 0.1,
                 new Pledges(0.2, 0, 2.5, 0, true, 0), new Permits(6, true, true, true, SECOND, true),
                 new CopyKeeping(CopyKeeping.Checks.NONE, 500, false), false, 0), 1, () -> now, () -> now);
         now += 20 * SECOND;
