--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -11,7 +11,7 @@
 import ploverdale.model.Event.Ending;
 import ploverdale.model.OpType.Needs;
 import ploverdale.model.OpType.Repeats;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report.Role;
 import ploverdale.state.*;
 
 /**
@@ -47,7 +47,7 @@
     private final List<Pace> paces = new ArrayList<>();
     private Allotment allotment;
     private double shedPrice;
-    private long scarceUntil = Telling.UNTOLD;
+    private long scarceUntil = Report.UNTOLD;
     private long nextBeat = Long.MIN_VALUE, askListAt = Long.MAX_VALUE;
 
     private long now;
@@ -138,7 +138,7 @@
                 hearsay.listed(m.id);
             }
             boolean drained = m.listed == Listing.Stage.DRAINING; // by the list itself, which may undo it
-            m.drainTold = l.stage() == Listing.Stage.DRAINING ? now : drained ? Telling.UNTOLD : m.drainTold;
+            m.drainTold = l.stage() == Listing.Stage.DRAINING ? now : drained ? Report.UNTOLD : m.drainTold;
             m.listed = l.stage();
             // Guards against a list that does not know yet of a drain heard elsewhere: it does not undo it.
             stage(m, heardOfDrain(m) && l.startedAt() <= m.startedAt ? m.stage : l.stage());
@@ -191,7 +191,7 @@
     /** A session's last write, as the position its reads must reach; others have none that stands still. */
     private long needPosition(Event.OpArrived a, OpType type) {
         boolean none = type.needs() != Needs.SESSION || copies.tokensCarried() && a.tokenAge() == 0;
-        return none ? Telling.UNTOLD
+        return none ? Report.UNTOLD
                 : copies.tokensCarried() ? now - a.tokenAge() : sessionWrites.of(a.session());
     }
 
@@ -430,7 +430,7 @@
         }
         Op live = ops.get(e.op());
         if (e.ending() == Ending.ACKED && op != null && op.type.needs() == Needs.WRITE) {
-            boolean told = e.note() != null && e.note().position() != Telling.UNTOLD;
+            boolean told = e.note() != null && e.note().position() != Report.UNTOLD;
             sessionWrites.put(op.asked.session(), told ? e.note().position() : now);
         }
         if (live != null && e.settled()) {
@@ -547,7 +547,7 @@
     private void probeEnded(Event.ProbeEnded e) {
         Member m = members.get(e.server());
         long heardBefore = Math.max(m.aliveAt, m.positionToldAt); // by anyone; else the list's word does
-        heardBefore = heardBefore == Telling.UNTOLD ? now : Math.max(m.silentSince, heardBefore);
+        heardBefore = heardBefore == Report.UNTOLD ? now : Math.max(m.silentSince, heardBefore);
         m.probeOut = false;
         if (e.ending() == Ending.ACKED || e.ending() == Ending.FULL) {
             m.deadSigns = 0;
@@ -567,25 +567,25 @@
             m.penalty = neverThere(m) ? longest : Math.min(PENALTY_MOST / 4, m.penalty * 2);
             m.retryAt = now + m.penalty;
         } else if (now - m.answeredAt > SILENCE_LEAST
-                && (++m.deadSigns >= DEAD_SIGNS || m.heardAt == Telling.UNTOLD)) {
+                && (++m.deadSigns >= DEAD_SIGNS || m.heardAt == Report.UNTOLD)) {
             silent(m, "probes unanswered " + m.deadSigns);
         }
         release(m.group);
     }
 
     /** Guards against old reports that revive a lost role: a primary's position tells when it said so. */
-    private void learnReport(Member m, Telling t) {
-        boolean dated = t != null && t.role() == Role.PRIMARY && t.position() != Telling.UNTOLD;
+    private void learnReport(Member m, Report t) {
+        boolean dated = t != null && t.role() == Role.PRIMARY && t.position() != Report.UNTOLD;
         learnRole(m, t, dated ? t.position() : now - REPORT_AGE);
     }
 
     /** Newest word wins; a position never goes back. */
-    private void learnRole(Member m, Telling t, long toldAt) {
+    private void learnRole(Member m, Report t, long toldAt) {
         if (t == null) {
             return;
         }
         m.busy = Double.isNaN(t.busy()) ? m.busy : t.busy();
-        if (t.position() != Telling.UNTOLD) {
+        if (t.position() != Report.UNTOLD) {
             m.position = Math.max(m.position, t.position() - MS); // a write's commit is rounded up
             m.positionToldAt = now;
             if (hearsay != null) {
@@ -663,10 +663,10 @@
     }
 
     private Word word(Member m) {
-        return new Word(m.role, m.role == Role.UNKNOWN ? Telling.UNTOLD : Math.min(now, m.roleToldAt),
+        return new Word(m.role, m.role == Role.UNKNOWN ? Report.UNTOLD : Math.min(now, m.roleToldAt),
                 m.position, m.positionToldAt, m.aliveAt, m.silentAt,
-                warmth(m) < 1 ? m.coldSince : Telling.UNTOLD,
-                m.stage == Listing.Stage.DRAINING ? m.drainTold : Telling.UNTOLD);
+                warmth(m) < 1 ? m.coldSince : Report.UNTOLD,
+                m.stage == Listing.Stage.DRAINING ? m.drainTold : Report.UNTOLD);
     }
 
     private void heard(Event.PeerMessage p) {
@@ -689,14 +689,14 @@
         m.silentAt = Math.max(m.silentAt, w.silentAt());
         m.aliveAt = Math.max(m.aliveAt, w.aliveAt());
         if (w.roleAt() > m.roleToldAt) {
-            learnRole(m, new Telling(w.role(), Telling.UNTOLD), w.roleAt());
+            learnRole(m, new Report(w.role(), Report.UNTOLD), w.roleAt());
         }
         // A primary is heard by oneself once, before its first write: others may not know that it is silent.
         if (w.silentAt() > m.aliveAt) {
             m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1); // a probe tells, before the next op there
-            m.retryAt = Math.max(m.retryAt, m.aliveAt == Telling.UNTOLD ? w.silentAt() + PENALTY_MOST : 0);
+            m.retryAt = Math.max(m.retryAt, m.aliveAt == Report.UNTOLD ? w.silentAt() + PENALTY_MOST : 0);
         } else if (w.aliveAt() > Math.max(m.heardAt, m.connectFailedAt) && !m.silent
-                && (m != m.group.primary || m.heardAt != Telling.UNTOLD)) {
+                && (m != m.group.primary || m.heardAt != Report.UNTOLD)) {
             m.heardAt = w.aliveAt();
         }
         release(m.group);
@@ -787,7 +787,7 @@
                 proved(m, op, false);
                 if (op.type.needs() == Needs.WRITE) {
                     // Guards against one that hands over: it turns writes away and still signs as primary.
-                    learnRole(m, new Telling(Role.REPLICA, Telling.UNTOLD), now + ASK_AGAIN);
+                    learnRole(m, new Report(Role.REPLICA, Report.UNTOLD), now + ASK_AGAIN);
                 }
             }
         }
@@ -833,7 +833,7 @@
 
     /** Not so where nobody was heard: guards against a slow start, of this gateway or of all servers. */
     private boolean neverThere(Member m) {
-        return m.heardAt == Telling.UNTOLD && members.values().stream().anyMatch(Member::isPromising);
+        return m.heardAt == Report.UNTOLD && members.values().stream().anyMatch(Member::isPromising);
     }
 
     private void silent(Member m, String why) {
--- a/gateway/src/main/java/ploverdale/benchlink/Reader.java
+++ b/gateway/src/main/java/ploverdale/benchlink/Reader.java
@@ -11,8 +11,8 @@
 import ploverdale.model.OpTypeId;
 import ploverdale.model.ServerId;
 import ploverdale.model.SessionId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 import ploverdale.model.TenantId;
 import ploverdale.model.ZoneId;
 import ploverdale.terms.Fields;
@@ -95,13 +95,13 @@
     }
 
     Event sendEnded(Fields f) {
-        Telling note = null;
+        Report note = null;
         if (f.has("progress")) {
             long told = f.whole("progress");
             long position = told >> 2;
             boolean none = position == 0 && !terms.positionsInNotes();
-            note = new Telling(role((int) (told & 3)),
-                    none ? Telling.UNTOLD : Fields.down(terms.positionZeroMs()) + position * 10);
+            note = new Report(role((int) (told & 3)),
+                    none ? Report.UNTOLD : Fields.down(terms.positionZeroMs()) + position * 10);
         }
         return new Event.SendEnded(new OpId(f.text("ref")), (int) f.whole("roundNo"),
                 new ServerId(f.text("server")), ending(f.text("verdict")), Fields.up(f.number("durationMs")),
@@ -120,7 +120,7 @@
         }
     }
 
-    private Telling report(Fields f) {
+    private Report report(Fields f) {
         List<Object> row = f.list("healthInfo");
         if (row.isEmpty()) {
             return null;
--- a/gateway/src/main/java/ploverdale/hearsay/Hearsay.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Hearsay.java
@@ -14,8 +14,8 @@
 import java.util.stream.Collectors;
 import ploverdale.hearsay.Datagram.Kind;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /**
  * What one instance hears from others and tells them. A new instance asks a few others for all that they know; from then
@@ -82,7 +82,7 @@
     private final double bound;
     private final Set<Known> news = new LinkedHashSet<>();
     private final Map<Object, Integer> refusals = new HashMap<>();
-    private long lineAt = Telling.UNTOLD;
+    private long lineAt = Report.UNTOLD;
     private int asks;
     private long startedAt = Long.MAX_VALUE;
     private double purse = Datagram.MOST;
@@ -108,7 +108,7 @@
         trustAt = new long[instances];
         leftAt = new long[instances];
         Arrays.fill(trust, 1);
-        Arrays.fill(leftAt, Telling.UNTOLD);
+        Arrays.fill(leftAt, Report.UNTOLD);
     }
 
     /** This instance starts and knows nothing yet. */
@@ -159,7 +159,7 @@
         if (d.kind() == Kind.LEAVES) {
             leftAt[from] = now;
         } else if (now - leftAt[from] > ON_ITS_WAY_MOST) {
-            leftAt[from] = Telling.UNTOLD; // another instance is there
+            leftAt[from] = Report.UNTOLD; // another instance is there
         }
         Map<ServerId, Word> words = new LinkedHashMap<>();
         boolean places = d.kind().ordinal() >= Kind.PLACES_UP.ordinal();
@@ -268,7 +268,7 @@
         }
     }
 
-    // -- Telling
+    // -- Report
 
     /** This instance's own knowledge of a server may have changed. */
     public void learnt(long now, ServerId id) {
@@ -301,7 +301,7 @@
         List<Letter> letters = new ArrayList<>();
         if (!servers.isEmpty() && asks < ASKS_AFTER.length && now - startedAt >= ASKS_AFTER[asks]) {
             asks++;
-            boolean unheard = servers.values().stream().anyMatch(k -> own.apply(k.id).aliveAt() == Telling.UNTOLD);
+            boolean unheard = servers.values().stream().anyMatch(k -> own.apply(k.id).aliveAt() == Report.UNTOLD);
             if (unheard) {
                 byte[] bytes = new Datagram(Kind.ASKS, now, Map.of()).bytes();
                 some(now, ASKED, -1).forEach(peer -> letters.add(new Letter(peer, bytes)));
--- a/gateway/src/main/java/ploverdale/hearsay/Rota.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Rota.java
@@ -10,8 +10,8 @@
 import ploverdale.hearsay.Datagram.Kind;
 import ploverdale.hearsay.Hearsay.Letter;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /**
  * How positions get round where each instance alone hears too few. One instance at a time collects: whose turn it is
@@ -36,8 +36,8 @@
     private final int instances;
     private final Map<ServerId, Place> places = new LinkedHashMap<>();
     private final Set<ServerId> pending = new LinkedHashSet<>();
-    private long upAt = Telling.UNTOLD;
-    private long toldAt = Telling.UNTOLD;
+    private long upAt = Report.UNTOLD;
+    private long toldAt = Report.UNTOLD;
 
     Rota(int me, int instances) {
         this.me = me;
@@ -61,7 +61,7 @@
 
     /** Another instance told a server's position. */
     void place(ServerId id, Word w, long at) {
-        if (w.position() != Telling.UNTOLD && w.role() != Role.UNKNOWN) {
+        if (w.position() != Report.UNTOLD && w.role() != Role.UNKNOWN) {
             Place p = places.get(id);
             places.put(id, new Place(p == null ? w.position() : Math.max(p.position, w.position()), w.role(), at));
         }
@@ -98,8 +98,8 @@
         Map<Integer, Word> words = new LinkedHashMap<>();
         places.forEach((id, p) -> {
             if (now - p.at <= WITHIN - UP_WITHIN && words.size() < Datagram.PLACES_MOST) {
-                words.put(Datagram.shortNumber(id), new Word(p.role, now, p.position, now, now, Telling.UNTOLD,
-                        Telling.UNTOLD, Telling.UNTOLD));
+                words.put(Datagram.shortNumber(id), new Word(p.role, now, p.position, now, now, Report.UNTOLD,
+                        Report.UNTOLD, Report.UNTOLD));
             }
         });
         toldAt = words.isEmpty() ? toldAt : now;
--- a/gateway/src/main/java/ploverdale/hearsay/Word.java
+++ b/gateway/src/main/java/ploverdale/hearsay/Word.java
@@ -1,11 +1,11 @@
 package ploverdale.hearsay;
 
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /**
  * What is known of one server, each part with the time at which its source learnt it, in tenths of a millisecond of this
- * instance's clock; {@link Telling#UNTOLD} where nothing is known.
+ * instance's clock; {@link Report#UNTOLD} where nothing is known.
  *
  * <p>Words make a join-semilattice: {@link #join} takes of each part the newest, so words may come in any order, twice, or
  * not at all, and what comes out is the same picture or an older one, never a fresher one.
@@ -21,8 +21,8 @@
         long drainAt) {
 
     /** Nothing known. */
-    public static final Word NONE = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD);
+    public static final Word NONE = new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD,
+            Report.UNTOLD, Report.UNTOLD, Report.UNTOLD);
 
     /** Both words in one. */
     public Word join(Word o) {
@@ -36,9 +36,9 @@
     public Word since(long time) {
         boolean role = roleAt >= time;
         boolean placed = positionAt >= time;
-        return new Word(role ? this.role : Role.UNKNOWN, role ? roleAt : Telling.UNTOLD,
-                placed ? position : Telling.UNTOLD, placed ? positionAt : Telling.UNTOLD,
-                aliveAt >= time ? aliveAt : Telling.UNTOLD, silentAt >= time ? silentAt : Telling.UNTOLD, coldSince, drainAt);
+        return new Word(role ? this.role : Role.UNKNOWN, role ? roleAt : Report.UNTOLD,
+                placed ? position : Report.UNTOLD, placed ? positionAt : Report.UNTOLD,
+                aliveAt >= time ? aliveAt : Report.UNTOLD, silentAt >= time ? silentAt : Report.UNTOLD, coldSince, drainAt);
     }
 
     /** The same with nothing learnt after a time; for words of a clock that runs ahead. */
@@ -49,18 +49,18 @@
 
     /** The same with a role that is not believed left out. */
     public Word withoutRole() {
-        return new Word(Role.UNKNOWN, Telling.UNTOLD, position, positionAt, aliveAt, silentAt, coldSince, drainAt);
+        return new Word(Role.UNKNOWN, Report.UNTOLD, position, positionAt, aliveAt, silentAt, coldSince, drainAt);
     }
 
     /** The same, its role told earlier by so much. */
     public Word withRoleOlder(long by) {
-        return by == 0 || roleAt == Telling.UNTOLD ? this : new Word(role, roleAt - by, position, positionAt, aliveAt,
+        return by == 0 || roleAt == Report.UNTOLD ? this : new Word(role, roleAt - by, position, positionAt, aliveAt,
                 silentAt, coldSince, drainAt);
     }
 
     /** Whether somebody found it silent and nobody has heard of it since. */
     public boolean silent() {
-        return silentAt != Telling.UNTOLD && silentAt > aliveAt;
+        return silentAt != Report.UNTOLD && silentAt > aliveAt;
     }
 
     /**
@@ -71,7 +71,7 @@
         boolean leads = role == Role.PRIMARY;
         return role != Role.UNKNOWN && leads != (older.role == Role.PRIMARY) && roleAt > older.roleAt
                 || silent() != older.silent() && Math.max(silentAt, aliveAt) > Math.max(older.silentAt, older.aliveAt)
-                || drainAt > older.drainAt && older.drainAt == Telling.UNTOLD
+                || drainAt > older.drainAt && older.drainAt == Report.UNTOLD
                 || coldSince > older.coldSince + SAME_START;
     }
 
--- a/gateway/src/main/java/ploverdale/model/Event.java
+++ b/gateway/src/main/java/ploverdale/model/Event.java
@@ -23,8 +23,8 @@
 
     /** A send has ended; settled when the op has, too. Either telling may be null. */
     record SendEnded(
-            OpId op, int send, ServerId server, Ending ending, long took, boolean settled, Telling note,
-            Telling report) implements Event {}
+            OpId op, int send, ServerId server, Ending ending, long took, boolean settled, Report note,
+            Report report) implements Event {}
 
     /** The client has gone. */
     record ClientLeft(OpId op) implements Event {}
@@ -33,7 +33,7 @@
     record WakeUp(long mark) implements Event {}
 
     /** A probe has ended; the report may be null. */
-    record ProbeEnded(ServerId server, Ending ending, Telling report) implements Event {}
+    record ProbeEnded(ServerId server, Ending ending, Report report) implements Event {}
 
     /** Another gateway's message. */
     record PeerMessage(int from, byte[] bytes) implements Event {}
--- a/gateway/src/main/java/ploverdale/model/Telling.java
+++ b/gateway/src/main/java/ploverdale/model/Report.java
@@ -1,9 +1,9 @@
 package ploverdale.model;
 
 /** What a server said of itself: its role and, when told, the log position applied and the busy part of its cores. */
-public record Telling(Role role, long position, double busy) {
+public record Report(Role role, long position, double busy) {
 
-    public Telling(Role role, long position) {
+    public Report(Role role, long position) {
         this(role, position, Double.NaN);
     }
 
--- a/gateway/src/main/java/ploverdale/net/ReplicaSide.java
+++ b/gateway/src/main/java/ploverdale/net/ReplicaSide.java
@@ -18,7 +18,7 @@
 import ploverdale.model.OpType.Needs;
 import ploverdale.model.OpType.Repeats;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
+import ploverdale.model.Report;
 import ploverdale.net.LogicLoop.Clock;
 import ploverdale.replica.Claim;
 import ploverdale.replica.Fate;
@@ -220,7 +220,7 @@
     }
 
     /** A server has acked an op: what is to be known of that is copied, and its client answered, at once or then. */
-    void acked(OpId op, PgCodec.Row row, Telling note, ServerId server) {
+    void acked(OpId op, PgCodec.Row row, Report note, ServerId server) {
         InHand i = inHand.remove(op);
         if (i == null) {
             clients.acked(op, row);
@@ -237,7 +237,7 @@
             clients.acked(op, row);
         }
         if (keeping.sessions() && session != null) {
-            long at = note != null && note.position() != Telling.UNTOLD ? note.position() : Clock.now();
+            long at = note != null && note.position() != Report.UNTOLD ? note.position() : Clock.now();
             asks((now, to) -> replicas.wrote(now, Replicas.key(true, session), at, Datagram.number(server), left, i.waits, to),
                     d -> copied(i, row, d));
         }
--- a/gateway/src/main/java/ploverdale/net/ServerSide.java
+++ b/gateway/src/main/java/ploverdale/net/ServerSide.java
@@ -21,8 +21,8 @@
 import ploverdale.model.Event.Ending;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 import ploverdale.net.LogicLoop.Clock;
 import ploverdale.room.Room;
 import ploverdale.terms.Terms;
@@ -37,7 +37,7 @@
     public enum Reach { NO_CONNECTION, NOT_WRITTEN, IN_DOUBT, WRITTEN }
 
     /** How a send ended. The row is there when it was acked; note and report may be null. */
-    public record Outcome(Ending ending, Reach reach, PgCodec.Row row, Telling note, Telling report, long took) {}
+    public record Outcome(Ending ending, Reach reach, PgCodec.Row row, Report note, Report report, long took) {}
 
     /** Hears the outcome of a send or probe, once. */
     public interface Ear {
@@ -117,7 +117,7 @@
             timer = vertx.setTimer(Math.max(1, (limit + 9) / 10), x -> giveUp(this, Ending.TIMED_OUT));
         }
 
-        private void end(Ending ending, PgCodec.Row row, Telling note, Telling report) {
+        private void end(Ending ending, PgCodec.Row row, Report note, Report report) {
             if (over) {
                 return;
             }
@@ -474,15 +474,15 @@
             Sending x = sending;
             sending = null;
             rested(false);
-            Telling note = note();
-            Telling report = terms.reportsInAnswers() ? report(told.get("vitals")) : null;
+            Report note = note();
+            Report report = terms.reportsInAnswers() ? report(told.get("vitals")) : null;
             boolean probe = x.op == null;
             if (problem != null) {
                 x.end(ending(problem.code(), probe), null, note, report);
             } else if (value == null) {
                 x.end(Ending.ERRORED, null, note, report);
             } else if (probe) {
-                Telling asked = terms.reportsInProbes() ? report(text(value.bytes())) : null;
+                Report asked = terms.reportsInProbes() ? report(text(value.bytes())) : null;
                 x.end(Ending.ACKED, null, note, asked != null ? asked : report);
             } else {
                 x.end(Ending.ACKED, new PgCodec.Row(column, value.bytes(), done.tag()), note, report);
@@ -546,12 +546,12 @@
             x.end(written ? Ending.BROKEN_OFF : unwritten, null, null, null);
         }
 
-        private Telling note() {
+        private Report note() {
             Role role = role(told.get("rank"));
             double position = number(told.get("as_of"));
             position = ahead(position) ? Double.NaN : position;
             return role == Role.UNKNOWN && Double.isNaN(position) ? null
-                    : new Telling(role, Double.isNaN(position) ? Telling.UNTOLD : (long) Math.floor(position) * 10);
+                    : new Report(role, Double.isNaN(position) ? Report.UNTOLD : (long) Math.floor(position) * 10);
         }
     }
 
@@ -572,7 +572,7 @@
      * A load report as text, its positions in Unix seconds. Guards against reports that would mislead: one that is in any
      * part misshapen, of the future, or from before the server made its first counts as not told.
      */
-    private static Telling report(String text) {
+    private static Report report(String text) {
         if (text == null) {
             return null;
         }
--- a/gateway/src/main/java/ploverdale/state/Member.java
+++ b/gateway/src/main/java/ploverdale/state/Member.java
@@ -6,7 +6,7 @@
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
+import ploverdale.model.Report;
 import ploverdale.model.ZoneId;
 
 /** All that this gateway holds about one database server. Times in tenths of a millisecond. */
@@ -18,28 +18,28 @@
     public boolean drainSeen;
     public long startedAt;
 
-    public Telling.Role role = Telling.Role.UNKNOWN;
-    public long roleToldAt = Telling.UNTOLD;
-    public long position = Telling.UNTOLD;
-    public long positionToldAt = Telling.UNTOLD;
-    public long turnedAwayAt = Telling.UNTOLD;
+    public Report.Role role = Report.Role.UNKNOWN;
+    public long roleToldAt = Report.UNTOLD;
+    public long position = Report.UNTOLD;
+    public long positionToldAt = Report.UNTOLD;
+    public long turnedAwayAt = Report.UNTOLD;
 
-    public long heardAt = Telling.UNTOLD; // by this gateway, or as good as that; put back where a probe is wanted
-    public long aliveAt = Telling.UNTOLD; // by any gateway
-    public long silentAt = Telling.UNTOLD; // the same
+    public long heardAt = Report.UNTOLD; // by this gateway, or as good as that; put back where a probe is wanted
+    public long aliveAt = Report.UNTOLD; // by any gateway
+    public long silentAt = Report.UNTOLD; // the same
     public Listing.Stage listed = Listing.Stage.IN;
-    public long drainTold = Telling.UNTOLD; // by a list, here or elsewhere
-    public long connectFailedAt = Telling.UNTOLD;
+    public long drainTold = Report.UNTOLD; // by a list, here or elsewhere
+    public long connectFailedAt = Report.UNTOLD;
     public boolean refusesConnects;
-    public long cutAt = Telling.UNTOLD;
-    public long fullAt = Telling.UNTOLD;
+    public long cutAt = Report.UNTOLD;
+    public long fullAt = Report.UNTOLD;
     public long fullFor;
-    public long probedAt = Telling.UNTOLD;
+    public long probedAt = Report.UNTOLD;
     public boolean probeOut;
 
     public boolean silent;
     public long silentSince;
-    public long returnedAt = Telling.UNTOLD;
+    public long returnedAt = Report.UNTOLD;
     public long retryAt;
     public long penalty;
     public int deadSigns;
@@ -47,12 +47,12 @@
     public double lostShare;
     public double ackedStretch = 1;
     public double failShare;
-    public long coldSince = Telling.UNTOLD;
+    public long coldSince = Report.UNTOLD;
     public double coldCredit;
-    public long coldCreditAt = Telling.UNTOLD;
+    public long coldCreditAt = Report.UNTOLD;
 
     public final Map<OpId, Op> out = new LinkedHashMap<>();
-    public long answeredAt = Telling.UNTOLD;
+    public long answeredAt = Report.UNTOLD;
     public double limit;
     public double pressure;
     public double busy;
@@ -73,7 +73,7 @@
 
     /** Heard before and not silent now. */
     public boolean isPromising() {
-        return isIn() && heardAt != Telling.UNTOLD && !silent;
+        return isIn() && heardAt != Report.UNTOLD && !silent;
     }
 
     /** Sends made since it last returned from silence; older ones may be stuck for as long as they like. */
--- a/gateway/src/main/java/ploverdale/terms/Terms.java
+++ b/gateway/src/main/java/ploverdale/terms/Terms.java
@@ -7,8 +7,8 @@
 import ploverdale.model.OpType;
 import ploverdale.model.Permits;
 import ploverdale.model.Pledges;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 import ploverdale.model.Tenant;
 
 /**
@@ -93,9 +93,9 @@
     }
 
     /** A load report, its values named; an absent one is null. Positions are counted from a zero. */
-    public static Telling report(Double position, Double role, Double busy, double zeroMs) {
-        return new Telling(role == null ? Role.UNKNOWN : role.intValue() == 1 ? Role.PRIMARY : Role.REPLICA,
-                position == null ? Telling.UNTOLD : Fields.down(zeroMs + position * 1000),
+    public static Report report(Double position, Double role, Double busy, double zeroMs) {
+        return new Report(role == null ? Role.UNKNOWN : role.intValue() == 1 ? Role.PRIMARY : Role.REPLICA,
+                position == null ? Report.UNTOLD : Fields.down(zeroMs + position * 1000),
                 busy == null ? Double.NaN : busy);
     }
 
--- a/gateway/src/test/java/ploverdale/FakeHost.java
+++ b/gateway/src/test/java/ploverdale/FakeHost.java
@@ -45,8 +45,8 @@
 import ploverdale.model.Pledges;
 import ploverdale.model.ServerId;
 import ploverdale.model.SessionId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 import ploverdale.model.Tenant;
 import ploverdale.model.TenantId;
 import ploverdale.model.ZoneId;
@@ -159,7 +159,7 @@
     }
 
     void probed(String server, Role role, long positionMs) {
-        tell(new Event.ProbeEnded(new ServerId(server), Ending.ACKED, new Telling(role, positionMs * 10)));
+        tell(new Event.ProbeEnded(new ServerId(server), Ending.ACKED, new Report(role, positionMs * 10)));
     }
 
     void unanswered(String server) {
@@ -177,7 +177,7 @@
         return op;
     }
 
-    void ends(OpId op, int send, String server, Ending ending, Telling note) {
+    void ends(OpId op, int send, String server, Ending ending, Report note) {
         boolean settled = ending == Ending.ACKED;
         tell(new Event.SendEnded(op, send, new ServerId(server), ending, 1000, settled, note, null));
     }
--- a/gateway/src/test/java/ploverdale/HearsayInLogicTest.java
+++ b/gateway/src/test/java/ploverdale/HearsayInLogicTest.java
@@ -13,20 +13,20 @@
 import ploverdale.model.Event.Ending;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /** What the module makes of words of other gateways. */
 class HearsayInLogicTest {
     private final FakeHost host = FakeHost.talking(3);
 
     private Word word(Role role, long roleMs, long positionMs, long aliveMs, long silentMs) {
-        return new Word(role, at(roleMs), at(positionMs), at(positionMs), at(aliveMs), at(silentMs), Telling.UNTOLD,
-                Telling.UNTOLD);
+        return new Word(role, at(roleMs), at(positionMs), at(positionMs), at(aliveMs), at(silentMs), Report.UNTOLD,
+                Report.UNTOLD);
     }
 
     private static long at(long ms) {
-        return ms < 0 ? Telling.UNTOLD : ms * 10;
+        return ms < 0 ? Report.UNTOLD : ms * 10;
     }
 
     private void told(int from, String server, Word w) {
@@ -147,8 +147,8 @@
     void aDrainHeardBindsAtOnceAndAnOlderListDoesNotUndoIt() {
         host.list(true, "p", "r1", "r2");
         host.levelled("p", "r1", "r2");
-        Word drains = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-                Telling.UNTOLD, host.nowMs * 10 - 100);
+        Word drains = new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD,
+                Report.UNTOLD, host.nowMs * 10 - 100);
         told(1, "r1", drains);
         host.list(true, "p", "r1", "r2");
         for (int i = 0; i < 5; i++) {
@@ -162,8 +162,8 @@
     void aDrainThatNoListConfirmsLapses() {
         host.list(true, "p", "r1");
         host.levelled("p", "r1");
-        told(1, "r1", new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-                Telling.UNTOLD, host.nowMs * 10));
+        told(1, "r1", new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD,
+                Report.UNTOLD, host.nowMs * 10));
         host.pass(10_500);
         host.levelled("p", "r1");
         assertThat(host.sends(host.ask(FakeHost.VIEW))).containsExactly("r1");
@@ -173,8 +173,8 @@
     void coldHeardIsCold() {
         host.list(true, "p", "r1", "r2");
         host.levelled("p", "r1", "r2");
-        told(1, "r1", new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-                host.nowMs * 10 - 100, Telling.UNTOLD));
+        told(1, "r1", new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD,
+                host.nowMs * 10 - 100, Report.UNTOLD));
         int cold = 0;
         for (int i = 0; i < 20; i++) {
             cold += host.sends(host.ask(FakeHost.VIEW)).contains("r1") ? 1 : 0;
@@ -201,7 +201,7 @@
         told(1, "r1", word(Role.PRIMARY, host.nowMs - 1, -1, -1, -1));
         OpId op = host.ask(FakeHost.SUBMIT);
         assertThat(host.sends(op)).startsWith("r1");
-        host.ends(op, 0, "r1", Ending.TURNED_AWAY, new Telling(Role.REPLICA, host.nowMs * 10));
+        host.ends(op, 0, "r1", Ending.TURNED_AWAY, new Report(Role.REPLICA, host.nowMs * 10));
         host.nowMs += 1000;
         host.levelled("p", "r1", "r2");
         host.nowMs += 100;
--- a/gateway/src/test/java/ploverdale/LogicTest.java
+++ b/gateway/src/test/java/ploverdale/LogicTest.java
@@ -14,15 +14,15 @@
 import ploverdale.model.Listing.Stage;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /** Stories of single failures, each against the fake host. */
 class LogicTest {
     private final FakeHost host = FakeHost.settled();
 
-    private static Telling note(Role role, long positionMs) {
-        return new Telling(role, positionMs * 10);
+    private static Report note(Role role, long positionMs) {
+        return new Report(role, positionMs * 10);
     }
 
     @Test
@@ -260,11 +260,11 @@
         FakeHost small = new FakeHost(CopyKeeping.Checks.NONE, false, true, 100);
         small.list(true, "r1");
         small.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.ACKED,
-                new Telling(Role.REPLICA, small.nowMs * 10, 1.1)));
+                new Report(Role.REPLICA, small.nowMs * 10, 1.1)));
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).isEmpty();
         small.nowMs += 200;
         small.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.ACKED,
-                new Telling(Role.REPLICA, small.nowMs * 10, 0.5)));
+                new Report(Role.REPLICA, small.nowMs * 10, 0.5)));
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).containsExactly("r1");
     }
 
--- a/gateway/src/test/java/ploverdale/hearsay/DatagramTest.java
+++ b/gateway/src/test/java/ploverdale/hearsay/DatagramTest.java
@@ -14,13 +14,13 @@
 import ploverdale.hearsay.Datagram.Kind;
 import ploverdale.hearsay.Datagram.Refusal;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /** What fits a datagram, and what is not read. */
 class DatagramTest {
     private static final Word PRIMARY = new Word(Role.PRIMARY, NOW - 5000, NOW - 5010, NOW - 5000, NOW - 5000,
-            Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD);
+            Report.UNTOLD, Report.UNTOLD, Report.UNTOLD);
 
     private static byte[] checked(byte[] b) {
         CRC32C crc = new CRC32C();
@@ -82,8 +82,8 @@
         byte[] older = Arrays.copyOf(b, 10 + 7 + 4); // number, role and its age only
         older[3] = 7;
         Word w = Datagram.read(checked(older)).datagram().words().get(7);
-        assertThat(w).isEqualTo(new Word(Role.PRIMARY, NOW - 5000, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-                Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD));
+        assertThat(w).isEqualTo(new Word(Role.PRIMARY, NOW - 5000, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD,
+                Report.UNTOLD, Report.UNTOLD, Report.UNTOLD));
     }
 
     @Test
--- a/gateway/src/test/java/ploverdale/hearsay/HearsayTest.java
+++ b/gateway/src/test/java/ploverdale/hearsay/HearsayTest.java
@@ -12,8 +12,8 @@
 import ploverdale.hearsay.Hearsay.Heard;
 import ploverdale.hearsay.Hearsay.Letter;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /** What instances make of one another's words, with their letters carried by hand. */
 class HearsayTest {
@@ -75,7 +75,7 @@
     }
 
     static Word role(Role role, long at) {
-        return new Word(role, at, Telling.UNTOLD, Telling.UNTOLD, at, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD);
+        return new Word(role, at, Report.UNTOLD, Report.UNTOLD, at, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD);
     }
 
     private static byte[] told(long sentAt, ServerId id, Word w) {
--- a/gateway/src/test/java/ploverdale/hearsay/RotaTest.java
+++ b/gateway/src/test/java/ploverdale/hearsay/RotaTest.java
@@ -15,8 +15,8 @@
 import org.junit.jupiter.api.Test;
 import ploverdale.hearsay.Hearsay.Letter;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /** Positions that few hear get round to all. */
 class RotaTest {
@@ -42,7 +42,7 @@
     }
 
     private static Word place(long now, long position) {
-        return new Word(Role.REPLICA, now, position, now, now, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD);
+        return new Word(Role.REPLICA, now, position, now, now, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD);
     }
 
     private void pass(long from, long until, Set<Integer> dead) {
--- a/gateway/src/test/java/ploverdale/hearsay/WordTest.java
+++ b/gateway/src/test/java/ploverdale/hearsay/WordTest.java
@@ -14,8 +14,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.Size;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /** Words in any order, lost and doubled, give the same picture or an older one, never a fresher. */
 class WordTest {
@@ -23,7 +23,7 @@
 
     /** A time of the last ten seconds, or unknown. */
     private static Arbitrary<Long> time() {
-        return Arbitraries.longs().between(NOW - 100_000, NOW).injectNull(0.2).map(t -> t == null ? Telling.UNTOLD : t);
+        return Arbitraries.longs().between(NOW - 100_000, NOW).injectNull(0.2).map(t -> t == null ? Report.UNTOLD : t);
     }
 
     @Provide
@@ -31,8 +31,8 @@
         Arbitrary<Word> known = Combinators.combine(Arbitraries.of(Role.PRIMARY, Role.REPLICA), time(), time(), time(),
                 time(), time(), time())
                 .as((role, roleAt, placedAt, alive, silent, cold, drain) -> new Word(
-                        roleAt == Telling.UNTOLD ? Role.UNKNOWN : role, roleAt,
-                        placedAt == Telling.UNTOLD ? placedAt : placedAt - 500, placedAt, alive, silent, cold, drain));
+                        roleAt == Report.UNTOLD ? Role.UNKNOWN : role, roleAt,
+                        placedAt == Report.UNTOLD ? placedAt : placedAt - 500, placedAt, alive, silent, cold, drain));
         return known;
     }
 
@@ -62,7 +62,7 @@
         Word came = Datagram.read(sent.bytes()).datagram().words().get(5);
         assertOlder(came, word);
         assertThat(came.role()).isEqualTo(word.role());
-        if (word.position() != Telling.UNTOLD) {
+        if (word.position() != Report.UNTOLD) {
             assertThat(word.position() - came.position()).isBetween(0L, 9L);
             assertThat(word.roleAt() - came.roleAt()).isBetween(0L, 120L);
         }
@@ -81,8 +81,8 @@
     @Property(seed = "10")
     void whatIsTooOldIsForgottenButADrainAndAColdStart(@ForAll("words") Word word) {
         Word later = word.since(NOW + 1);
-        assertThat(later.withRoleOlder(0)).isEqualTo(new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD,
-                Telling.UNTOLD, Telling.UNTOLD, word.coldSince(), word.drainAt()));
+        assertThat(later.withRoleOlder(0)).isEqualTo(new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD,
+                Report.UNTOLD, Report.UNTOLD, word.coldSince(), word.drainAt()));
         assertThat(word.since(NOW - 200_000)).isEqualTo(word);
     }
 }
--- a/tools/src/main/java/ploverdale/tools/rig/Tier.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Tier.java
@@ -12,8 +12,8 @@
 import ploverdale.hearsay.Hearsay.Letter;
 import ploverdale.hearsay.Word;
 import ploverdale.model.ServerId;
-import ploverdale.model.Telling;
-import ploverdale.model.Telling.Role;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
 
 /**
  * Hundreds of instances that start at once, in simulated time: only what they tell one another, without sockets. Each hears
@@ -88,8 +88,8 @@
             long passed = now - START;
             if (passed == SILENT_AT) {
                 lost = servers.get(1);
-                Word w = new Word(Role.UNKNOWN, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, Telling.UNTOLD, now,
-                        Telling.UNTOLD, Telling.UNTOLD);
+                Word w = new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, now,
+                        Report.UNTOLD, Report.UNTOLD);
                 known.get(3).merge(lost, w, Word::join);
                 all.get(3).learnt(now, lost);
             }
@@ -155,8 +155,8 @@
         ServerId id = servers.get(chance.nextInt(servers.size()));
         if (!id.equals(lost)) {
             Role role = servers.indexOf(id) % 4 == 0 ? Role.PRIMARY : Role.REPLICA;
-            known.get(at).merge(id, new Word(role, now, now - 5 * MS, now, now, Telling.UNTOLD, Telling.UNTOLD,
-                    Telling.UNTOLD), Word::join);
+            known.get(at).merge(id, new Word(role, now, now - 5 * MS, now, now, Report.UNTOLD, Report.UNTOLD,
+                    Report.UNTOLD), Word::join);
             all.get(at).placed(now, id);
             all.get(at).learnt(now, id);
         }
