--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -8,7 +8,7 @@
 import ploverdale.hearsay.Word;
 import ploverdale.model.*;
 import ploverdale.model.Allotment.Probing;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.OpType.Needs;
 import ploverdale.model.OpType.Repeats;
 import ploverdale.model.Report.Role;
@@ -429,7 +429,7 @@
             learnHealth(m, op, e);
         }
         Op live = ops.get(e.op());
-        if (e.ending() == Ending.ACKED && op != null && op.type.needs() == Needs.WRITE) {
+        if (e.outcome() == Outcome.ACKED && op != null && op.type.needs() == Needs.WRITE) {
             boolean told = e.note() != null && e.note().position() != Report.UNTOLD;
             sessionWrites.put(op.asked.session(), told ? e.note().position() : now);
         }
@@ -437,7 +437,7 @@
             ops.remove(e.op());
         } else if (live != null && live.sendOut == e.send()) {
             live.sendOut = -1;
-            next(live, m, e.ending());
+            next(live, m, e.outcome());
         }
         release(m.group);
         if (now < scarceUntil && m.out.isEmpty()) {
@@ -445,15 +445,15 @@
         }
     }
 
-    private void next(Op op, Member m, Ending ending) {
-        if (!ending.provesNotRun && !op.mayHaveRun) {
+    private void next(Op op, Member m, Outcome outcome) {
+        if (!outcome.provesNotRun && !op.mayHaveRun) {
             op.mayHaveRun = true;
             boolean tokened = op.type.repeats() == Repeats.TOKENED;
             op.repeatUntil = tokened ? op.sentAt + op.type.repeatWindow() - MARGIN : Long.MAX_VALUE;
             op.firstMaybeServer = m;
         }
-        boolean wrongRole = ending == Ending.TURNED_AWAY && op.type.needs() == Needs.WRITE;
-        if (wrongRole || ending == Ending.NEVER_SENT || allotment.again()) {
+        boolean wrongRole = outcome == Outcome.TURNED_AWAY && op.type.needs() == Needs.WRITE;
+        if (wrongRole || outcome == Outcome.NEVER_SENT || allotment.again()) {
             place(op);
         } else {
             finish(op); // guards against storms: repeats stay a small part of all sends
@@ -549,7 +549,7 @@
         long heardBefore = Math.max(m.aliveAt, m.positionToldAt); // by anyone; else the list's word does
         heardBefore = heardBefore == Report.UNTOLD ? now : Math.max(m.silentSince, heardBefore);
         m.probeOut = false;
-        if (e.ending() == Ending.ACKED || e.ending() == Ending.FULL) {
+        if (e.outcome() == Outcome.ACKED || e.outcome() == Outcome.FULL) {
             m.deadSigns = 0;
             m.heardAt = m.aliveAt = now;
             if (m.refusesConnects && now - m.connectFailedAt < BRIEF) {
@@ -730,31 +730,31 @@
     private static final double LIMIT_STEP = 0.2; // an answer; the limit moves by a fifth in a round trip
 
     private void learnHealth(Member m, Op op, Event.SendEnded e) {
-        Ending ending = e.ending();
-        if (ending == Ending.NOT_CONNECTED) {
+        Outcome outcome = e.outcome();
+        if (outcome == Outcome.NOT_CONNECTED) {
             // Guards against networks that reset by chance: refusals in a row or slow ones are the server's.
             m.refusesConnects = e.took() < PATIENCE && now - m.connectFailedAt < BRIEF / 3;
             m.connectFailedAt = now;
             m.cutAt = m.refusesConnects || e.took() >= PATIENCE ? now : m.cutAt;
         }
-        if (ending.isOfConnection() && m.answeredAt < op.sentAt) {
+        if (outcome.isOfConnection() && m.answeredAt < op.sentAt) {
             m.heardAt = Math.min(m.heardAt, now - HEARD_LASTS - 1); // dead, or no room; a probe tells
             probe(m, Probing.OTHER);
-        } else if (ending.byServer) {
+        } else if (outcome.byServer) {
             m.answeredAt = m.heardAt = m.aliveAt = now;
             m.deadSigns = 0;
             if (m.silent && m.failShare < FAIL_SHARE) {
                 returns(m, now, "answers"); // to a send from before, so it has not started anew
             }
         }
-        if (ending == Ending.FULL) { // asks again ever more seldom, and not at the same time as all others
+        if (outcome == Outcome.FULL) { // asks again ever more seldom, and not at the same time as all others
             m.fullAt = now;
             m.fullFor = Math.min(HEARD_LASTS, 2 * m.fullFor + PATIENCE + chance.nextLong(PATIENCE));
         }
-        if (ending == Ending.FULL || ending == Ending.NOT_CONNECTED && m.cutAt == now) {
+        if (outcome == Outcome.FULL || outcome == Outcome.NOT_CONNECTED && m.cutAt == now) {
             m.limit = Math.max(leastLimit, Math.min(m.limit, m.out.size())); // what is open already is kept
         }
-        switch (ending) {
+        switch (outcome) {
             case ACKED -> {
                 proved(m, op, true);
                 m.missedInARow = 0;
@@ -768,7 +768,7 @@
             case ERRORED, BROKEN_OFF, CUT_OFF, NOT_CONNECTED -> {
                 // Guards against servers that fail fast and so draw traffic; leaves the group enough others.
                 // What may be the network's doing counts half.
-                m.failShare += NEWEST * ((ending == Ending.ERRORED ? 1 : 0.5) - m.failShare);
+                m.failShare += NEWEST * ((outcome == Outcome.ERRORED ? 1 : 0.5) - m.failShare);
                 long well = m.group.members.stream().filter(o -> o != m && o.isIn() && !o.silent).count();
                 if (m.failShare >= FAIL_SHARE && m != m.group.primary && well * 2 >= m.group.members.size()) {
                     silent(m, "fails " + Math.round(m.failShare * 100) + " %");
--- a/gateway/src/main/java/ploverdale/benchlink/Reader.java
+++ b/gateway/src/main/java/ploverdale/benchlink/Reader.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import ploverdale.model.GroupId;
 import ploverdale.model.Event;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.OpTypeId;
@@ -37,17 +37,17 @@
         return terms.started();
     }
 
-    private static Ending ending(String word) {
+    private static Outcome outcome(String word) {
         return switch (word) {
-            case "pass" -> Ending.ACKED;
-            case "no_room" -> Ending.FULL;
-            case "too_slow" -> Ending.TIMED_OUT;
-            case "no_route" -> Ending.NOT_CONNECTED;
-            case "cut" -> Ending.BROKEN_OFF;
-            case "undone" -> Ending.CALLED_OFF;
-            case "stale_send" -> Ending.NEVER_SENT;
-            case "none_here" -> Ending.TURNED_AWAY;
-            default -> Ending.ERRORED;
+            case "pass" -> Outcome.ACKED;
+            case "no_room" -> Outcome.FULL;
+            case "too_slow" -> Outcome.TIMED_OUT;
+            case "no_route" -> Outcome.NOT_CONNECTED;
+            case "cut" -> Outcome.BROKEN_OFF;
+            case "undone" -> Outcome.CALLED_OFF;
+            case "stale_send" -> Outcome.NEVER_SENT;
+            case "none_here" -> Outcome.TURNED_AWAY;
+            default -> Outcome.ERRORED;
         };
     }
 
@@ -104,12 +104,12 @@
                     none ? Report.UNTOLD : Fields.down(terms.positionZeroMs()) + position * 10);
         }
         return new Event.SendEnded(new OpId(f.text("ref")), (int) f.whole("roundNo"),
-                new ServerId(f.text("server")), ending(f.text("verdict")), Fields.up(f.number("durationMs")),
+                new ServerId(f.text("server")), outcome(f.text("verdict")), Fields.up(f.number("durationMs")),
                 f.mark("settled"), note, report(f));
     }
 
     Event probeEnded(Fields f) {
-        return new Event.ProbeEnded(new ServerId(f.text("server")), ending(f.text("verdict")), report(f));
+        return new Event.ProbeEnded(new ServerId(f.text("server")), outcome(f.text("verdict")), report(f));
     }
 
     static byte[] bytes(String hex) {
--- a/gateway/src/main/java/ploverdale/model/Event.java
+++ b/gateway/src/main/java/ploverdale/model/Event.java
@@ -21,9 +21,9 @@
     /** The answer to a streamed op has begun. */
     record AnswerBegun(OpId op, int send, ServerId server) implements Event {}
 
-    /** A send has ended; settled when the op has, too. Either telling may be null. */
+    /** A send has ended; settled when the op has, too. Either report may be null. */
     record SendEnded(
-            OpId op, int send, ServerId server, Ending ending, long took, boolean settled, Report note,
+            OpId op, int send, ServerId server, Outcome outcome, long took, boolean settled, Report note,
             Report report) implements Event {}
 
     /** The client has gone. */
@@ -33,7 +33,7 @@
     record WakeUp(long mark) implements Event {}
 
     /** A probe has ended; the report may be null. */
-    record ProbeEnded(ServerId server, Ending ending, Report report) implements Event {}
+    record ProbeEnded(ServerId server, Outcome outcome, Report report) implements Event {}
 
     /** Another gateway's message. */
     record PeerMessage(int from, byte[] bytes) implements Event {}
@@ -45,7 +45,7 @@
     record ShutdownDeadline() implements Event {}
 
     /** How a send ended. Cut off: on the way to a connection, by whom is not known; broken off: after it was sent. */
-    enum Ending {
+    enum Outcome {
         ACKED(false, true), ERRORED(false, true), FULL(true, true), TIMED_OUT(false, false),
         NOT_CONNECTED(true, false), CUT_OFF(true, false), BROKEN_OFF(false, false), CALLED_OFF(false, false), NEVER_SENT(true, false),
         TURNED_AWAY(true, true);
@@ -61,7 +61,7 @@
             return this == NOT_CONNECTED || this == CUT_OFF || this == BROKEN_OFF;
         }
 
-        Ending(boolean provesNotRun, boolean byServer) {
+        Outcome(boolean provesNotRun, boolean byServer) {
             this.provesNotRun = provesNotRun;
             this.byServer = byServer;
         }
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -199,7 +199,7 @@
     public void send(Action.Send a) {
         ClientSide.Taken t = clients.taken(a.op());
         if (t == null) { // its client has gone while the module was deciding
-            loop.tell(new Event.SendEnded(a.op(), 0, a.server(), Event.Ending.NEVER_SENT, 0, true, null, null));
+            loop.tell(new Event.SendEnded(a.op(), 0, a.server(), Event.Outcome.NEVER_SENT, 0, true, null, null));
             answered(a.op());
             return;
         }
@@ -213,9 +213,9 @@
                 outcome -> sendEnded(a.op(), number, a.server(), outcome));
     }
 
-    private void sendEnded(OpId op, int number, ServerId server, ServerSide.Outcome o) {
+    private void sendEnded(OpId op, int number, ServerId server, ServerSide.AttemptEnd o) {
         if (past != null) {
-            past.sendEnded(op, o.ending(), o.row() != null);
+            past.sendEnded(op, o.outcome(), o.row() != null);
         }
         if (o.row() != null && past != null) {
             past.acked(op, o.row(), o.note(), server);
@@ -223,7 +223,7 @@
             clients.acked(op, o.row());
         }
         boolean settled = o.row() != null || clients.taken(op) == null; // its answer may still wait for copies
-        loop.tell(new Event.SendEnded(op, number, server, o.ending(), o.took(), settled, o.note(), o.report()));
+        loop.tell(new Event.SendEnded(op, number, server, o.outcome(), o.took(), settled, o.note(), o.report()));
     }
 
     @Override
@@ -255,7 +255,7 @@
         servers.probe(a.server(), o -> {
             probesOut--;
             probesEnded++;
-            loop.tell(new Event.ProbeEnded(a.server(), o.ending(), o.report()));
+            loop.tell(new Event.ProbeEnded(a.server(), o.outcome(), o.report()));
         });
     }
 
--- a/gateway/src/main/java/ploverdale/net/ReplicaSide.java
+++ b/gateway/src/main/java/ploverdale/net/ReplicaSide.java
@@ -11,7 +11,7 @@
 import ploverdale.log.Log;
 import ploverdale.model.CopyKeeping;
 import ploverdale.model.GroupId;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.Event.OpArrived;
 import ploverdale.model.OpId;
 import ploverdale.model.OpType;
@@ -189,11 +189,11 @@
     }
 
     /** One has ended; a row, if it brought one, is still to be handed to {@link #acked}. */
-    void sendEnded(OpId op, Ending ending, boolean row) {
+    void sendEnded(OpId op, Outcome outcome, boolean row) {
         InHand i = inHand.get(op);
         if (i != null) {
             i.out--;
-            i.mayHaveRun |= !ending.provesNotRun;
+            i.mayHaveRun |= !outcome.provesNotRun;
             if (!row && clients.taken(op) == null) {
                 over(op);
             }
--- a/gateway/src/main/java/ploverdale/net/ServerSide.java
+++ b/gateway/src/main/java/ploverdale/net/ServerSide.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import ploverdale.log.Log;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
 import ploverdale.model.Report;
@@ -37,11 +37,11 @@
     public enum Reach { NO_CONNECTION, NOT_WRITTEN, IN_DOUBT, WRITTEN }
 
     /** How a send ended. The row is there when it was acked; note and report may be null. */
-    public record Outcome(Ending ending, Reach reach, PgCodec.Row row, Report note, Report report, long took) {}
+    public record AttemptEnd(Outcome outcome, Reach reach, PgCodec.Row row, Report note, Report report, long took) {}
 
     /** Hears the outcome of a send or probe, once. */
     public interface Ear {
-        void ended(Outcome outcome);
+        void ended(AttemptEnd outcome);
     }
 
     /** What a send or probe writes, given the wait that is left. */
@@ -114,10 +114,10 @@
             this.limit = limit;
             this.text = text;
             this.ear = ear;
-            timer = vertx.setTimer(Math.max(1, (limit + 9) / 10), x -> giveUp(this, Ending.TIMED_OUT));
+            timer = vertx.setTimer(Math.max(1, (limit + 9) / 10), x -> giveUp(this, Outcome.TIMED_OUT));
         }
 
-        private void end(Ending ending, PgCodec.Row row, Report note, Report report) {
+        private void end(Outcome outcome, PgCodec.Row row, Report note, Report report) {
             if (over) {
                 return;
             }
@@ -127,7 +127,7 @@
             if (op != null) {
                 byOp.remove(op, this);
             }
-            ear.ended(new Outcome(ending, reach, row, note, report, Math.max(0, Clock.now() + 1 - startedAt)));
+            ear.ended(new AttemptEnd(outcome, reach, row, note, report, Math.max(0, Clock.now() + 1 - startedAt)));
         }
     }
 
@@ -168,7 +168,7 @@
         }
         if (tries == 0 || s.address == null) {
             log.often("no room for a connection", "to server " + s.id.text() + ", " + room.servers() + " to servers");
-            x.end(Ending.NEVER_SENT, null, null, null);
+            x.end(Outcome.NEVER_SENT, null, null, null);
         } else {
             vertx.setTimer(OPEN_AGAIN_MS, y -> openOrWait(s, x, tries - 1));
         }
@@ -228,7 +228,7 @@
     public void callOff(OpId op) {
         Sending x = byOp.get(op);
         if (x != null) {
-            giveUp(x, Ending.CALLED_OFF);
+            giveUp(x, Outcome.CALLED_OFF);
         }
     }
 
@@ -249,7 +249,7 @@
     }
 
     /** What was not written whole has not run, whoever stopped waiting. */
-    private void giveUp(Sending x, Ending ending) {
+    private void giveUp(Sending x, Outcome outcome) {
         if (x.over) {
             return;
         }
@@ -259,7 +259,7 @@
             c.close();
         }
         boolean unwritten = x.reach == Reach.NO_CONNECTION || x.reach == Reach.NOT_WRITTEN;
-        x.end(unwritten ? Ending.NEVER_SENT : ending, null, null, null);
+        x.end(unwritten ? Outcome.NEVER_SENT : outcome, null, null, null);
     }
 
     private void closeOld() {
@@ -317,7 +317,7 @@
         }
 
         private void open() {
-            openTimer = vertx.setTimer((terms.connectLimit() + 9) / 10, x -> lost("not up in time", Ending.NOT_CONNECTED));
+            openTimer = vertx.setTimer((terms.connectLimit() + 9) / 10, x -> lost("not up in time", Outcome.NOT_CONNECTED));
             net.connect(SocketAddress.inetSocketAddress(address)).onComplete(r -> {
                 if (r.failed()) {
                     connect(r.cause());
@@ -377,7 +377,7 @@
                     up = true;
                     ready = true;
                 } else if (m instanceof PgCodec.Problem p) {
-                    lost("refused with " + p.code(), Ending.NOT_CONNECTED);
+                    lost("refused with " + p.code(), Outcome.NOT_CONNECTED);
                 } else if (!(m instanceof PgCodec.LetIn)) {
                     outOfOrder("an answer before any query");
                 }
@@ -412,14 +412,14 @@
                 lost(what);
             } else {
                 close();
-                x.end(Ending.ERRORED, null, null, null);
+                x.end(Outcome.ERRORED, null, null, null);
             }
         }
 
         private void write(Sending x) {
             if (!x.wanted.getAsBoolean()) {
                 x.on = this;
-                x.end(Ending.NEVER_SENT, null, null, null);
+                x.end(Outcome.NEVER_SENT, null, null, null);
                 free();
                 return;
             }
@@ -478,14 +478,14 @@
             Report report = terms.reportsInAnswers() ? report(told.get("vitals")) : null;
             boolean probe = x.op == null;
             if (problem != null) {
-                x.end(ending(problem.code(), probe), null, note, report);
+                x.end(outcome(problem.code(), probe), null, note, report);
             } else if (value == null) {
-                x.end(Ending.ERRORED, null, note, report);
+                x.end(Outcome.ERRORED, null, note, report);
             } else if (probe) {
                 Report asked = terms.reportsInProbes() ? report(text(value.bytes())) : null;
-                x.end(Ending.ACKED, null, note, asked != null ? asked : report);
+                x.end(Outcome.ACKED, null, note, asked != null ? asked : report);
             } else {
-                x.end(Ending.ACKED, new PgCodec.Row(column, value.bytes(), done.tag()), note, report);
+                x.end(Outcome.ACKED, new PgCodec.Row(column, value.bytes(), done.tag()), note, report);
             }
         }
 
@@ -515,17 +515,17 @@
          */
         private void connect(Throwable e) {
             boolean here = e instanceof ChannelException; // no descriptor left
-            lost(String.valueOf(e.getMessage()), here ? Ending.NEVER_SENT
-                    : e instanceof ConnectException ? Ending.NOT_CONNECTED : Ending.CUT_OFF);
+            lost(String.valueOf(e.getMessage()), here ? Outcome.NEVER_SENT
+                    : e instanceof ConnectException ? Outcome.NOT_CONNECTED : Outcome.CUT_OFF);
         }
 
         /** The connection has ended; what was out on it ends with it. */
         private void lost(String why) {
-            lost(why, Ending.CUT_OFF);
+            lost(why, Outcome.CUT_OFF);
         }
 
-        /** The same; the ending is that of a send not written whole. */
-        private void lost(String why, Ending unwritten) {
+        /** The same; the outcome is that of a send not written whole. */
+        private void lost(String why, Outcome unwritten) {
             if (closed) {
                 return;
             }
@@ -543,7 +543,7 @@
                 rested(true);
             }
             boolean written = x.reach == Reach.IN_DOUBT || x.reach == Reach.WRITTEN;
-            x.end(written ? Ending.BROKEN_OFF : unwritten, null, null, null);
+            x.end(written ? Outcome.BROKEN_OFF : unwritten, null, null, null);
         }
 
         private Report note() {
@@ -555,12 +555,12 @@
         }
     }
 
-    private static Ending ending(String code, boolean probe) {
+    private static Outcome outcome(String code, boolean probe) {
         return switch (code) {
-            case TURNED_OFF -> Ending.FULL;
-            case "57P03" -> probe ? Ending.FULL : Ending.ERRORED;
-            case "25006", "72000" -> Ending.TURNED_AWAY;
-            default -> Ending.ERRORED;
+            case TURNED_OFF -> Outcome.FULL;
+            case "57P03" -> probe ? Outcome.FULL : Outcome.ERRORED;
+            case "25006", "72000" -> Outcome.TURNED_AWAY;
+            default -> Outcome.ERRORED;
         };
     }
 
--- a/gateway/src/test/java/ploverdale/FakeHost.java
+++ b/gateway/src/test/java/ploverdale/FakeHost.java
@@ -34,7 +34,7 @@
 import ploverdale.model.CopyKeeping;
 import ploverdale.model.GroupId;
 import ploverdale.model.Event;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.Listing;
 import ploverdale.model.OpId;
 import ploverdale.model.OpType;
@@ -159,11 +159,11 @@
     }
 
     void probed(String server, Role role, long positionMs) {
-        tell(new Event.ProbeEnded(new ServerId(server), Ending.ACKED, new Report(role, positionMs * 10)));
+        tell(new Event.ProbeEnded(new ServerId(server), Outcome.ACKED, new Report(role, positionMs * 10)));
     }
 
     void unanswered(String server) {
-        tell(new Event.ProbeEnded(new ServerId(server), Ending.TIMED_OUT, null));
+        tell(new Event.ProbeEnded(new ServerId(server), Outcome.TIMED_OUT, null));
     }
 
     OpId ask(int type) {
@@ -177,9 +177,9 @@
         return op;
     }
 
-    void ends(OpId op, int send, String server, Ending ending, Report note) {
-        boolean settled = ending == Ending.ACKED;
-        tell(new Event.SendEnded(op, send, new ServerId(server), ending, 1000, settled, note, null));
+    void ends(OpId op, int send, String server, Outcome outcome, Report note) {
+        boolean settled = outcome == Outcome.ACKED;
+        tell(new Event.SendEnded(op, send, new ServerId(server), outcome, 1000, settled, note, null));
     }
 
     /** Servers the op was sent to, in order. */
--- a/gateway/src/test/java/ploverdale/HearsayInLogicTest.java
+++ b/gateway/src/test/java/ploverdale/HearsayInLogicTest.java
@@ -10,7 +10,7 @@
 import ploverdale.hearsay.Word;
 import ploverdale.model.Action;
 import ploverdale.model.Event;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
 import ploverdale.model.Report;
@@ -115,7 +115,7 @@
             OpId op = host.ask(FakeHost.HISTORY);
             String to = host.sends(op).get(0);
             r1 += to.equals("r1") ? 1 : 0;
-            host.ends(op, 0, to, Ending.ACKED, null);
+            host.ends(op, 0, to, Outcome.ACKED, null);
         }
         assertThat(r1).isEqualTo(20); // the only replica
     }
@@ -201,7 +201,7 @@
         told(1, "r1", word(Role.PRIMARY, host.nowMs - 1, -1, -1, -1));
         OpId op = host.ask(FakeHost.SUBMIT);
         assertThat(host.sends(op)).startsWith("r1");
-        host.ends(op, 0, "r1", Ending.TURNED_AWAY, new Report(Role.REPLICA, host.nowMs * 10));
+        host.ends(op, 0, "r1", Outcome.TURNED_AWAY, new Report(Role.REPLICA, host.nowMs * 10));
         host.nowMs += 1000;
         host.levelled("p", "r1", "r2");
         host.nowMs += 100;
--- a/gateway/src/test/java/ploverdale/LogicTest.java
+++ b/gateway/src/test/java/ploverdale/LogicTest.java
@@ -10,7 +10,7 @@
 import ploverdale.model.Action;
 import ploverdale.model.CopyKeeping;
 import ploverdale.model.Event;
-import ploverdale.model.Event.Ending;
+import ploverdale.model.Event.Outcome;
 import ploverdale.model.Listing.Stage;
 import ploverdale.model.OpId;
 import ploverdale.model.ServerId;
@@ -85,7 +85,7 @@
     void aFullProbeTableIsASignOfLifeAndNoDeadOne() {
         host.nowMs += 3000;
         for (int i = 0; i < 3; i++) {
-            host.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.FULL, null));
+            host.tell(new Event.ProbeEnded(new ServerId("r1"), Outcome.FULL, null));
         }
         assertThat(host.logged("silent")).isFalse();
         assertThat(host.sends(host.ask(FakeHost.HISTORY))).containsExactly("r1");
@@ -93,7 +93,7 @@
 
     @Test
     void opsThatArriveAsALookRoundFallsDueDoNotPutItOff() {
-        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Outcome.TURNED_AWAY, null);
         OpId write = host.ask(FakeHost.SUBMIT);
         List<Long> wakes = new ArrayList<>();
         for (int i = 0; i < 600 && host.busyReplies(write) == 0; i++) {
@@ -112,7 +112,7 @@
     void atTheLastMomentOfAPlannedRestartEachOpInHandIsAnsweredOnceByWhatIsProven() {
         OpId read = host.ask(FakeHost.VIEW);
         OpId write = host.ask(FakeHost.SUBMIT);
-        host.tell(new Event.SendEnded(host.ask(FakeHost.SUBMIT), 0, new ServerId("p"), Ending.TURNED_AWAY, 10, false,
+        host.tell(new Event.SendEnded(host.ask(FakeHost.SUBMIT), 0, new ServerId("p"), Outcome.TURNED_AWAY, 10, false,
                 note(Role.REPLICA, host.nowMs), null));
         OpId held = host.ask(FakeHost.SUBMIT);
         assertThat(host.sends(held)).isEmpty();
@@ -121,7 +121,7 @@
         assertThat(host.errorReplies(write)).isEqualTo(1); // may have run
         assertThat(host.busyReplies(held)).isEqualTo(1); // was never sent
         assertThat(host.calledOff(write)).isTrue();
-        host.ends(write, 0, "p", Ending.CALLED_OFF, null);
+        host.ends(write, 0, "p", Outcome.CALLED_OFF, null);
         host.pass(3000);
         assertThat(host.sends(write)).hasSize(1);
         assertThat(host.busyReplies(write) + host.errorReplies(write)).isEqualTo(1);
@@ -178,7 +178,7 @@
         checked.nowMs += 560;
         OpId read = checked.ask(FakeHost.VIEW);
         checked.nowMs += 50;
-        checked.ends(read, 0, "r1", Ending.TURNED_AWAY, note(Role.REPLICA, checked.nowMs - 700));
+        checked.ends(read, 0, "r1", Outcome.TURNED_AWAY, note(Role.REPLICA, checked.nowMs - 700));
         assertThat(checked.sends(read)).startsWith("r1");
         assertThat(checked.sends(checked.ask(FakeHost.VIEW))).containsExactly("p");
     }
@@ -192,7 +192,7 @@
         assertThat(checked.sends(guess)).containsExactly("r1");
         assertThat(checked.busyReplies(checked.ask(FakeHost.VIEW))).isEqualTo(1);
         checked.nowMs += 50;
-        checked.ends(guess, 0, "r1", Ending.ACKED, note(Role.REPLICA, checked.nowMs - 10));
+        checked.ends(guess, 0, "r1", Outcome.ACKED, note(Role.REPLICA, checked.nowMs - 10));
         assertThat(checked.sends(checked.ask(FakeHost.VIEW))).containsExactly("r1");
     }
 
@@ -201,26 +201,26 @@
         OpId write = host.ask(FakeHost.SUBMIT);
         for (int send = 0; send < 2; send++) {
             assertThat(host.acts).noneMatch(Action.CloseIdle.class::isInstance);
-            host.tell(new Event.SendEnded(write, send, new ServerId("p"), Ending.NOT_CONNECTED, 10, false, null, null));
+            host.tell(new Event.SendEnded(write, send, new ServerId("p"), Outcome.NOT_CONNECTED, 10, false, null, null));
             assertThat(host.probes("p")).isEqualTo(2 + send);
             host.probed("p", Role.PRIMARY, host.nowMs);
         }
-        host.ends(write, 2, "p", Ending.ACKED, null);
+        host.ends(write, 2, "p", Outcome.ACKED, null);
         assertThat(host.acts).contains(new Action.CloseIdle(new ServerId("p")));
     }
 
     @ParameterizedTest
-    @EnumSource(value = Ending.class, names = {"CUT_OFF", "NOT_CONNECTED", "BROKEN_OFF"})
-    void resetsByChanceNeitherCutAServersLimitNorLeaveItOut(Ending ending) {
+    @EnumSource(value = Outcome.class, names = {"CUT_OFF", "NOT_CONNECTED", "BROKEN_OFF"})
+    void resetsByChanceNeitherCutAServersLimitNorLeaveItOut(Outcome outcome) {
         for (int i = 0; i < 60; i++) { // one op in eight at every server, as on a bad network
             for (int j = 0; j < 8; j++) {
                 OpId read = host.ask(FakeHost.HISTORY);
                 if (j == 0) {
-                    host.tell(new Event.SendEnded(read, 0, new ServerId(host.sends(read).get(0)), ending, 100, false,
+                    host.tell(new Event.SendEnded(read, 0, new ServerId(host.sends(read).get(0)), outcome, 100, false,
                             null, null));
                 }
                 int last = host.sends(read).size() - 1;
-                host.ends(read, last, host.sends(read).get(last), Ending.ACKED, note(Role.REPLICA, host.nowMs));
+                host.ends(read, last, host.sends(read).get(last), Outcome.ACKED, note(Role.REPLICA, host.nowMs));
                 host.pass(100);
                 host.levelled("p", "r1", "r2");
             }
@@ -238,9 +238,9 @@
     void aSlowFailedConnectGivesUpNoIdleConnection() {
         OpId read = host.ask(FakeHost.VIEW);
         String server = host.sends(read).get(0);
-        host.tell(new Event.SendEnded(read, 0, new ServerId(server), Ending.NOT_CONNECTED, 2500, false, null, null));
+        host.tell(new Event.SendEnded(read, 0, new ServerId(server), Outcome.NOT_CONNECTED, 2500, false, null, null));
         host.probed(server, Role.REPLICA, host.nowMs);
-        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.ACKED, null);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Outcome.ACKED, null);
         assertThat(host.acts).noneMatch(Action.CloseIdle.class::isInstance);
     }
 
@@ -248,7 +248,7 @@
     void whereAnswersGetLostWhileOthersComeInTimeASendIsMadeAgainBeforeItsOpIsWorthless() {
         for (int i = 0; i < 40; i++) {
             OpId op = host.ask(FakeHost.SUBMIT);
-            host.ends(op, 0, "p", i % 4 == 0 ? Ending.TIMED_OUT : Ending.ACKED, null);
+            host.ends(op, 0, "p", i % 4 == 0 ? Outcome.TIMED_OUT : Outcome.ACKED, null);
         }
         OpId read = host.ask(FakeHost.FRESH);
         assertThat(host.acts).anyMatch(a -> a instanceof Action.Send s && s.op().equals(read) && s.timeLimit() < 3500);
@@ -259,11 +259,11 @@
     void aBusyServersReadsThinOutWhereOwnAnswersAreOld() {
         FakeHost small = new FakeHost(CopyKeeping.Checks.NONE, false, true, 100);
         small.list(true, "r1");
-        small.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.ACKED,
+        small.tell(new Event.ProbeEnded(new ServerId("r1"), Outcome.ACKED,
                 new Report(Role.REPLICA, small.nowMs * 10, 1.1)));
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).isEmpty();
         small.nowMs += 200;
-        small.tell(new Event.ProbeEnded(new ServerId("r1"), Ending.ACKED,
+        small.tell(new Event.ProbeEnded(new ServerId("r1"), Outcome.ACKED,
                 new Report(Role.REPLICA, small.nowMs * 10, 0.5)));
         assertThat(small.sends(small.ask(FakeHost.HISTORY))).containsExactly("r1");
     }
@@ -275,7 +275,7 @@
             FakeHost small = new FakeHost(CopyKeeping.Checks.NONE, false, true, 100 + i);
             small.list(true, "r1", "r2");
             small.levelled("r1", "r2");
-            small.ends(small.ask(FakeHost.HISTORY), 0, "r2", Ending.ACKED, null);
+            small.ends(small.ask(FakeHost.HISTORY), 0, "r2", Outcome.ACKED, null);
             small.listed("r1", Stage.IN, small.nowMs);
             for (int s = 0; s < 4; s++) {
                 OpId read = small.ask(FakeHost.HISTORY);
@@ -305,8 +305,8 @@
     void whatMakesNoSenseChangesNothing() {
         int before = host.acts.size();
         host.tell(new Event.PeerMessage(3, new byte[] {104, 105}));
-        host.tell(new Event.ProbeEnded(new ServerId("stranger"), Ending.ACKED, note(Role.PRIMARY, host.nowMs)));
-        host.ends(new OpId("none"), 0, "stranger", Ending.ACKED, null);
+        host.tell(new Event.ProbeEnded(new ServerId("stranger"), Outcome.ACKED, note(Role.PRIMARY, host.nowMs)));
+        host.ends(new OpId("none"), 0, "stranger", Outcome.ACKED, null);
         host.tell(new Event.ClientLeft(new OpId("none")));
         assertThat(host.acts).hasSize(before);
         assertThat(host.sends(host.ask(FakeHost.SUBMIT))).containsExactly("p");
@@ -325,7 +325,7 @@
     @Test
     void aWriteTurnedAwayMarksThatMemberNotPrimaryAndWaitsForProbes() {
         OpId write = host.ask(FakeHost.SUBMIT);
-        host.ends(write, 0, "p", Ending.TURNED_AWAY, null);
+        host.ends(write, 0, "p", Outcome.TURNED_AWAY, null);
         assertThat(host.sends(write)).hasSize(1);
         host.nowMs += 400;
         host.probed("r2", Role.PRIMARY, host.nowMs);
@@ -336,9 +336,9 @@
     void aPrimaryThatHandsOverIsNotBelievedRightAfterItTurnedAWriteAway() {
         OpId read = host.ask(FakeHost.FRESH);
         OpId write = host.ask(FakeHost.SUBMIT);
-        host.ends(write, 0, "p", Ending.TURNED_AWAY, null);
+        host.ends(write, 0, "p", Outcome.TURNED_AWAY, null);
         host.nowMs += 20;
-        host.ends(read, 0, "p", Ending.ACKED, note(Role.PRIMARY, host.nowMs)); // as it still calls itself
+        host.ends(read, 0, "p", Outcome.ACKED, note(Role.PRIMARY, host.nowMs)); // as it still calls itself
         assertThat(host.sends(write)).containsExactly("p");
         host.nowMs += 150;
         host.probed("p", Role.PRIMARY, host.nowMs);
@@ -347,7 +347,7 @@
 
     @Test
     void anOldReportDoesNotBringBackAStalePrimary() {
-        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Outcome.TURNED_AWAY, null);
         host.nowMs += 100;
         host.probed("p", Role.PRIMARY, host.nowMs - 200);
         assertThat(host.sends(host.ask(FakeHost.SUBMIT))).isEmpty();
@@ -370,7 +370,7 @@
             OpId scan = host.ask(FakeHost.SCAN);
             host.nowMs += 100;
             host.tell(new Event.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)),
-                    Ending.ACKED, 9000, true, null, null));
+                    Outcome.ACKED, 9000, true, null, null));
         }
         host.levelled("p", "r1", "r2");
         assertThat(host.sends(host.ask(FakeHost.SCAN))).containsExactly("r1");
@@ -382,7 +382,7 @@
         for (int i = 0; i < 25; i++) {
             OpId scan = host.ask(FakeHost.SCAN);
             host.nowMs += 100;
-            host.tell(new Event.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)), Ending.ACKED, 9000, true,
+            host.tell(new Event.SendEnded(scan, 0, new ServerId(host.sends(scan).get(0)), Outcome.ACKED, 9000, true,
                     null, null));
         }
         host.lagging(1100);
@@ -398,7 +398,7 @@
     @Test
     void aNonRetryableWriteThatMayHaveRunGetsAnErrorAndNoSecondSend() {
         OpId write = host.ask(FakeHost.SUBMIT);
-        host.ends(write, 0, "p", Ending.ERRORED, null);
+        host.ends(write, 0, "p", Outcome.ERRORED, null);
         assertThat(host.sends(write)).hasSize(1);
         assertThat(host.errorReplies(write)).isEqualTo(1);
         assertThat(host.busyReplies(write)).isZero();
@@ -407,12 +407,12 @@
     @Test
     void aWriteProvenNotRunIsSentAgainAMomentLaterToAPrimaryThatWasFull() {
         OpId write = host.ask(FakeHost.SUBMIT);
-        host.ends(write, 0, "p", Ending.FULL, null);
+        host.ends(write, 0, "p", Outcome.FULL, null);
         assertThat(host.sends(write)).as("not at once, while it is as full").containsExactly("p");
         assertThat(host.busyReplies(write)).isZero();
         host.pass(120);
         assertThat(host.sends(write)).containsExactly("p", "p");
-        host.ends(write, 1, "p", Ending.FULL, null);
+        host.ends(write, 1, "p", Outcome.FULL, null);
         host.pass(120);
         assertThat(host.sends(write)).as("ever more seldom").hasSize(2);
     }
@@ -420,17 +420,17 @@
     @Test
     void aTokenedWriteIsRepeatedInItsWindowAndErroredAfterIt() {
         OpId write = host.ask(FakeHost.TOKENED);
-        host.ends(write, 0, "p", Ending.ERRORED, null);
+        host.ends(write, 0, "p", Outcome.ERRORED, null);
         assertThat(host.sends(write)).containsExactly("p", "p");
         host.nowMs += 2000;
-        host.ends(write, 1, "p", Ending.ERRORED, null);
+        host.ends(write, 1, "p", Outcome.ERRORED, null);
         assertThat(host.sends(write)).hasSize(2);
         assertThat(host.errorReplies(write)).isEqualTo(1);
     }
 
     @Test
     void aHeldWriteThatWasNeverSentIsBusyRepliedWithinHalfItsTimeWhenNoPrimaryComes() {
-        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Outcome.TURNED_AWAY, null);
         OpId write = host.ask(FakeHost.SUBMIT);
         host.pass(1400);
         assertThat(host.busyReplies(write)).isZero();
@@ -465,7 +465,7 @@
         host.unanswered(first);
         host.unanswered(first);
         assertThat(host.calledOff(read)).isTrue();
-        host.ends(read, 0, first, Ending.CALLED_OFF, null);
+        host.ends(read, 0, first, Outcome.CALLED_OFF, null);
         assertThat(host.sends(read)).containsExactly(first, other);
         host.nowMs += 3000;
         host.probed(first, Role.REPLICA, host.nowMs);
@@ -507,7 +507,7 @@
             OpId read = host.ask(FakeHost.HISTORY);
             for (int s = 0; s < host.sends(read).size() && s < 4; s++) {
                 boolean bad = host.sends(read).get(s).equals("r1");
-                host.ends(read, s, host.sends(read).get(s), bad ? Ending.ERRORED : Ending.ACKED, null);
+                host.ends(read, s, host.sends(read).get(s), bad ? Outcome.ERRORED : Outcome.ACKED, null);
             }
         }
         assertThat(host.logged("server r1 silent: fails")).isTrue();
@@ -528,7 +528,7 @@
     void sessionReadsFollowTheWritesAcknowledgedHere() {
         OpId write = host.ask(FakeHost.SUBMIT, "s", 0);
         host.nowMs += 100;
-        host.ends(write, 0, "p", Ending.ACKED, note(Role.PRIMARY, host.nowMs));
+        host.ends(write, 0, "p", Outcome.ACKED, note(Role.PRIMARY, host.nowMs));
         assertThat(host.sends(host.ask(FakeHost.SESSION, "s", 0))).containsExactly("p");
         assertThat(host.sends(host.ask(FakeHost.SESSION, "other", 0))).isSubsetOf("r1", "r2").hasSize(1);
         host.probed("r1", Role.REPLICA, host.nowMs + 1);
@@ -557,7 +557,7 @@
         String server = host.sends(read).get(0);
         host.tell(new Event.ClientLeft(read));
         assertThat(host.calledOff(read)).isTrue();
-        host.ends(read, 0, server, Ending.CALLED_OFF, null);
+        host.ends(read, 0, server, Outcome.CALLED_OFF, null);
         assertThat(host.sends(read)).hasSize(1);
         assertThat(host.busyReplies(read) + host.errorReplies(read)).isZero();
     }
@@ -580,7 +580,7 @@
         for (int i = 0; i < 6; i++) {
             host.pass(90);
             for (int j = 0; j < 15; j++) {
-                host.ends(host.ask(FakeHost.FRESH), 0, "p", Ending.ACKED, null);
+                host.ends(host.ask(FakeHost.FRESH), 0, "p", Outcome.ACKED, null);
             }
             host.ask(FakeHost.FRESH);
             host.pass(150);
@@ -591,7 +591,7 @@
 
     @Test
     void whileRoomIsShortAnOpWithinItsTenantsShareGoesBeforeOneBeyondIt() {
-        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Ending.TURNED_AWAY, null);
+        host.ends(host.ask(FakeHost.SUBMIT), 0, "p", Outcome.TURNED_AWAY, null);
         List<OpId> asked = new ArrayList<>();
         for (int i = 0; i < 130; i++) {
             asked.add(host.ask(FakeHost.SUBMIT));
@@ -626,7 +626,7 @@
         for (int i = 0; i < 12; i++) {
             OpId read = fresh.ask(FakeHost.HISTORY);
             assertThat(fresh.sends(read)).as("read " + i).containsExactly("r1");
-            fresh.ends(read, 0, "r1", Ending.ACKED, note(Role.REPLICA, fresh.nowMs));
+            fresh.ends(read, 0, "r1", Outcome.ACKED, note(Role.REPLICA, fresh.nowMs));
         }
     }
 
