--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -14,7 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongConsumer;
-import ploverdale.handover.Traffic;
+import ploverdale.shutdown.Traffic;
 import ploverdale.log.Log;
 import ploverdale.model.GroupId;
 import ploverdale.model.Event;
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import ploverdale.budgets.Sharing;
-import ploverdale.handover.Departure;
+import ploverdale.shutdown.GracefulShutdown;
 import ploverdale.log.Log;
 import ploverdale.model.Action;
 import ploverdale.model.Event;
@@ -277,30 +277,30 @@
     }
 
     /**
-     * Planned restart, in the steps of {@link Departure}. An op taken on the way is to be answered before the end, whatever
+     * Planned restart, in the steps of {@link GracefulShutdown}. An op taken on the way is to be answered before the end, whatever
      * its own op timeout.
      */
     public void endPlanned(CountDownLatch done) {
         long longest = file.terms().started().opTypes().stream().mapToLong(OpType::opTimeout).max().orElse(0) / 10;
         long killed = Math.min(longest, LONGEST_COUNTED_MS) + KILLED_AFTER_MS;
         long began = System.nanoTime() / 1_000_000;
-        Departure departure = new Departure(killed, clients.opsPerSecond());
+        GracefulShutdown shutdown = new GracefulShutdown(killed, clients.opsPerSecond());
         log.line("planned restart: " + clients.sessions() + " connections, " + clients.opsInHand()
-                + " ops in hand, serves on for " + departure.endsBy() + " ms or until few ask");
-        clients.answerAllBy(LogicLoop.Clock.now() + departure.answersBy() * 10);
+                + " ops in hand, serves on for " + shutdown.endsBy() + " ms or until few ask");
+        clients.answerAllBy(LogicLoop.Clock.now() + shutdown.answersBy() * 10);
         loop.tell(new Event.ShutdownBegun());
         // Guards against ops from before the word to leave whose own timeouts are later than the end.
-        vertx.setTimer(departure.answersBy(), x -> {
+        vertx.setTimer(shutdown.answersBy(), x -> {
             loop.tell(new Event.ShutdownDeadline());
             clients.refuseUnfinished();
         });
         if (fleet != null) {
             fleet.leaves();
         }
-        clients.whenAsked(now -> departure.asked(now - began));
+        clients.whenAsked(now -> shutdown.asked(now - began));
         vertx.setPeriodic(LOOK_MS, x -> {
             long passed = System.nanoTime() / 1_000_000 - began;
-            switch (departure.at(passed, clients.greeted() + clients.parting(), clients.opsInHand())) {
+            switch (shutdown.at(passed, clients.greeted() + clients.parting(), clients.opsInHand())) {
                 case ENDS -> clients.endIdle();
                 case OVER -> {
                     log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered, "
--- a/gateway/src/main/java/ploverdale/handover/Departure.java
+++ b/gateway/src/main/java/ploverdale/shutdown/GracefulShutdown.java
@@ -1,11 +1,11 @@
-package ploverdale.handover;
+package ploverdale.shutdown;
 
 /**
  * The course of one planned restart. A gateway that leaves serves on for as long as it is asked: those who are connected
  * may have nowhere else to go. Once hardly anyone asks any more, each further moment is one without the gateway that comes
  * after it, so it ends at once. Times in milliseconds from the word to leave.
  */
-public final class Departure {
+public final class GracefulShutdown {
     /** What to do now: serve on, end connections that wait for nothing, or stop. */
     public enum Step { SERVES, ENDS, OVER }
 
@@ -29,7 +29,7 @@
      * @param killedAfterMs when the platform ends the process, whatever it does
      * @param opsPerSecond asked lately
      */
-    public Departure(long killedAfterMs, double opsPerSecond) {
+    public GracefulShutdown(long killedAfterMs, double opsPerSecond) {
         endsBy = Math.max(STILL_ARRIVING_MS, killedAfterMs - ENDING_TAKES_MS);
         answersBy = killedAfterMs - ANSWERED_BEFORE_MS;
         overBy = killedAfterMs - SPARE_MS;
--- a/gateway/src/main/java/ploverdale/handover/Traffic.java
+++ b/gateway/src/main/java/ploverdale/shutdown/Traffic.java
@@ -1,4 +1,4 @@
-package ploverdale.handover;
+package ploverdale.shutdown;
 
 /** Ops a second, counted with weights that fade: the newest second counts most. Times in milliseconds. */
 public final class Traffic {
--- a/gateway/src/main/java/ploverdale/handover/package-info.java
+++ b/gateway/src/main/java/ploverdale/shutdown/package-info.java
@@ -3,4 +3,4 @@
  * is over. Must never do I/O or look at a clock, and never let the end come before an op in hand has its answer, but for
  * the time at which the platform ends it anyway.
  */
-package ploverdale.handover;
+package ploverdale.shutdown;
--- a/gateway/src/test/java/ploverdale/handover/DepartureTest.java
+++ b/gateway/src/test/java/ploverdale/shutdown/GracefulShutdownTest.java
@@ -1,13 +1,13 @@
-package ploverdale.handover;
+package ploverdale.shutdown;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
-import ploverdale.handover.Departure.Step;
+import ploverdale.shutdown.GracefulShutdown.Step;
 
 /** When a gateway that was told to leave ends; the platform kills it after 3.7 s. */
-class DepartureTest {
-    private static Step after(Departure d, long until, long everyMs) {
+class GracefulShutdownTest {
+    private static Step after(GracefulShutdown d, long until, long everyMs) {
         for (long ms = everyMs; ms < until; ms += everyMs) {
             d.asked(ms);
         }
@@ -16,7 +16,7 @@
 
     @Test
     void servesOnWhileItIsAsked() {
-        Departure d = new Departure(3700, 100);
+        GracefulShutdown d = new GracefulShutdown(3700, 100);
         assertThat(after(d, 2499, 10)).isEqualTo(Step.SERVES);
         assertThat(d.at(2500, 20, 2)).isEqualTo(Step.ENDS);
         assertThat(d.at(3599, 20, 2)).isEqualTo(Step.ENDS);
@@ -25,7 +25,7 @@
 
     @Test
     void endsAtOnceWhenItsClientsHaveGone() {
-        Departure d = new Departure(3700, 300);
+        GracefulShutdown d = new GracefulShutdown(3700, 300);
         assertThat(after(d, 300, 3)).isEqualTo(Step.SERVES);
         assertThat(d.at(499, 20, 0)).isEqualTo(Step.SERVES); // new ones may still come
         assertThat(d.at(700, 20, 0)).isEqualTo(Step.ENDS);
@@ -35,7 +35,7 @@
 
     @Test
     void aFewWhoAskOnAreNoReasonToStay() {
-        Departure d = new Departure(3700, 300);
+        GracefulShutdown d = new GracefulShutdown(3700, 300);
         after(d, 300, 3);
         for (long ms = 300; ms < 1500; ms += 100) {
             d.asked(ms);
@@ -45,10 +45,10 @@
 
     @Test
     void whereFewAskAPauseIsNoEnd() {
-        Departure d = new Departure(3700, 4);
+        GracefulShutdown d = new GracefulShutdown(3700, 4);
         d.asked(100);
         assertThat(d.at(900, 5, 0)).isEqualTo(Step.SERVES);
-        assertThat(new Departure(3700, 0).at(500, 5, 0)).isEqualTo(Step.ENDS);
+        assertThat(new GracefulShutdown(3700, 0).at(500, 5, 0)).isEqualTo(Step.ENDS);
     }
 
     @Test
@@ -63,6 +63,6 @@
 
     @Test
     void eachOpIsAnsweredSoLongBeforeTheEndThatAStandstillOfHalfASecondLosesNone() {
-        assertThat(new Departure(3700, 100).answersBy()).isLessThanOrEqualTo(3700 - 500).isGreaterThan(2500);
+        assertThat(new GracefulShutdown(3700, 100).answersBy()).isLessThanOrEqualTo(3700 - 500).isGreaterThan(2500);
     }
 }
