--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -26,7 +26,7 @@
     private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
     private static final double FIRST_LIMIT = 24; // sends or first probes a server, over all gateways
     private static final double LEAST_LIMIT = 8; // the same, at the least; one or two a gateway
-    private static final double EARLY = 0.125; // of an op timeout: its last part is for the answer's way and standstills
+    private static final double EARLY = 0.125; // of an op timeout, for the answer's way and standstills
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
 
     private RandomGenerator chance;
@@ -200,7 +200,7 @@
         return Math.min(answerBy(op), target) - MARGIN;
     }
 
-    /** Guards against answers given up on at the very end: they reach the client late, or never after a standstill. */
+    /** Guards against ops given up at the very end: the answer comes late, after a standstill never. */
     private long answerBy(Op op) {
         return op.asked.timeoutAt() - (long) (EARLY * (op.asked.timeoutAt() - op.arrivedAt));
     }
@@ -406,7 +406,7 @@
                 && worthUntil(op) - early > op.pace.usual * stretchNow(m)) {
             until = Math.min(until, early);
         }
-        // Guards against positions that age while a connection is made; where servers check reads, they see to it.
+        // Guards against positions that age while a connection is made; servers that check reads see to it.
         boolean ages = op.type.needs() == Needs.BOUNDED && m != m.group.primary
                 && copies.checks() == CopyKeeping.Checks.NONE;
         long writeBy = ages ? m.position + op.type.stalenessBound() : Long.MAX_VALUE;
--- a/gateway/src/main/java/ploverdale/room/Room.java
+++ b/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
@@ -1,4 +1,4 @@
-package ploverdale.room;
+package ploverdale.limits;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -11,7 +11,7 @@
  *
  * @param <C> stands for a client's connection; its identity is its name
  */
-public final class Room<C> {
+public final class ConnectionLimits<C> {
     /** Why a client's connection is to end. */
     public enum Why { NO_GREETING, UNFINISHED, IDLE }
 
@@ -40,7 +40,7 @@
     private int servers;
     private int closing;
 
-    public Room(int descriptors) {
+    public ConnectionLimits(int descriptors) {
         renew(descriptors);
     }
 
--- a/gateway/src/main/java/ploverdale/room/package-info.java
+++ b/gateway/src/main/java/ploverdale/limits/package-info.java
@@ -3,4 +3,4 @@
  * makes way when there are too many. Must never do I/O, look at a clock, or know what a connection carries: it is told
  * of each step and names who is to end; the sockets' owners end it.
  */
-package ploverdale.room;
+package ploverdale.limits;
--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -25,7 +25,7 @@
 import ploverdale.model.SessionId;
 import ploverdale.model.TenantId;
 import ploverdale.net.LogicLoop.Clock;
-import ploverdale.room.Room;
+import ploverdale.limits.ConnectionLimits;
 import ploverdale.terms.Terms;
 
 /**
@@ -83,7 +83,7 @@
     private final Log log;
     private final LogicLoop loop;
     private final Terms terms;
-    private final Room<Session> room;
+    private final ConnectionLimits<Session> limits;
     private final long unreadMs;
     private final Traffic traffic = new Traffic(TRAFFIC_FADES_MS);
     private final Map<OpId, Taken> taken = new HashMap<>();
@@ -98,12 +98,12 @@
     private final Set<NetSocket> parting = new LinkedHashSet<>(); // ended here and not yet by their clients
     private long answersBy = Long.MAX_VALUE;
 
-    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, Room<Session> room) {
+    public ClientSide(Vertx vertx, Log log, LogicLoop loop, Terms terms, ConnectionLimits<Session> limits) {
         this.vertx = vertx;
         this.log = log;
         this.loop = loop;
         this.terms = terms;
-        this.room = room;
+        this.limits = limits;
         unreadMs = Math.max(UNREAD_LEAST_MS,
                 terms.started().opTypes().stream().mapToLong(OpType::opTimeout).max().orElse(0) / 10);
         vertx.setPeriodic(LOOK_MS, x -> look());
@@ -113,36 +113,36 @@
         return System.nanoTime() / 1_000_000;
     }
 
-    /** Ends what the room says is to end by now. */
+    /** Ends what the limits say is to end by now. */
     private void look() {
-        for (Room.Leave<Session> l = room.overdue(nowMs()); l != null; l = room.overdue(nowMs())) {
+        for (ConnectionLimits.Leave<Session> l = limits.overdue(nowMs()); l != null; l = limits.overdue(nowMs())) {
             end(l);
         }
-        for (Room.Leave<Session> l = ending ? room.silentFor(SILENT_MS, nowMs()) : null; l != null;
-                l = room.silentFor(SILENT_MS, nowMs())) {
+        for (ConnectionLimits.Leave<Session> l = ending ? limits.silentFor(SILENT_MS, nowMs()) : null; l != null;
+                l = limits.silentFor(SILENT_MS, nowMs())) {
             end(l);
         }
     }
 
     /** Ends a connection that is to make way: one that began something is told so, an idle one is closed. */
-    public void end(Room.Leave<Session> l) {
-        if (l.why() == Room.Why.IDLE) {
+    public void end(ConnectionLimits.Leave<Session> l) {
+        if (l.why() == ConnectionLimits.Why.IDLE) {
             l.who().close();
             return;
         }
-        String what = l.why() == Room.Why.NO_GREETING ? "client without a greeting" : "client with an unfinished message";
-        log.often(what, "closed after " + l.sinceMs() + " ms, " + room.clients() + " of clients");
+        String what = l.why() == ConnectionLimits.Why.NO_GREETING ? "client without a greeting" : "client with an unfinished message";
+        log.often(what, "closed after " + l.sinceMs() + " ms, " + limits.clients() + " of clients");
         l.who().giveUp("08P01", what);
     }
 
     /** Takes in a connection, in place of one that does nothing where there are many, or turns it away. */
     public void accept(NetSocket socket) {
-        Room.Leave<Session> way = room.clientFits() ? null : room.wayForClient(nowMs());
+        ConnectionLimits.Leave<Session> way = limits.clientFits() ? null : limits.wayForClient(nowMs());
         if (way != null) {
             end(way);
-        } else if (!room.clientFits()) {
-            log.often("no room for a connection", "of a client, " + room.clients() + " of clients");
-            room.turnedAway();
+        } else if (!limits.clientFits()) {
+            log.often("no room for a connection", "of a client, " + limits.clients() + " of clients");
+            limits.turnedAway();
             socket.exceptionHandler(e -> { });
             socket.handler(b -> { });
             socket.closeHandler(x -> ended(socket));
@@ -182,7 +182,7 @@
             }
         });
         vertx.setTimer(PARTING_MS, x -> socket.close());
-        if (parting.size() > room.crossing()) {
+        if (parting.size() > limits.crossing()) {
             NetSocket longest = parting.iterator().next();
             parting.remove(longest);
             longest.close();
@@ -191,12 +191,12 @@
 
     private void ended(NetSocket socket) {
         parting.remove(socket);
-        vertx.setTimer(1, x -> room.closed()); // the system has its descriptor back a moment later
+        vertx.setTimer(1, x -> limits.closed()); // the system has its descriptor back a moment later
     }
 
     /** Connections that have greeted. */
     public int greeted() {
-        return sessions.size() - room.strangers();
+        return sessions.size() - limits.strangers();
     }
 
     /** Ops a second, lately. */
@@ -235,7 +235,7 @@
         }
         ending = true;
         List<Session> idle = new ArrayList<>();
-        room.allIdle().forEach(idle::add);
+        limits.allIdle().forEach(idle::add);
         idle.forEach(Session::endIfDone);
     }
 
@@ -244,7 +244,7 @@
      * refused now, and nothing more is taken on those connections.
      */
     public void refuseUnfinished() {
-        for (Session s = room.longestUnfinished(); s != null; s = room.longestUnfinished()) {
+        for (Session s = limits.longestUnfinished(); s != null; s = limits.longestUnfinished()) {
             s.giveUp("57P03", "this gateway ends, trying again does no harm");
         }
     }
@@ -273,8 +273,8 @@
      * lose their connections, after the answers to what came before it; if that is not enough, no more is read for now.
      */
     private void makeLighter() {
-        while (load >= LOAD_MOST && room.longestUnfinished() != null) {
-            Session s = room.longestUnfinished();
+        while (load >= LOAD_MOST && limits.longestUnfinished() != null) {
+            Session s = limits.longestUnfinished();
             log.often("too much unfinished", "given up with " + s.partial + " bytes, " + load + " held in all");
             s.giveUp("08P01", "too much is unfinished here");
         }
@@ -319,7 +319,7 @@
             socket.handler(this::bytes);
             socket.closeHandler(x -> gone());
             socket.exceptionHandler(e -> log.often("client connection", String.valueOf(e.getMessage())));
-            room.came(this, nowMs());
+            limits.came(this, nowMs());
         }
 
         private void bytes(Buffer more) {
@@ -353,10 +353,10 @@
                 partial = stream.held();
                 boolean begun = part && partial > 0 && stream.greeted(); // not what waits here for answers before it
                 if (!begun || cut) {
-                    room.whole(this);
+                    limits.whole(this);
                 }
                 if (begun) {
-                    room.begun(this, nowMs());
+                    limits.begun(this, nowMs());
                 }
                 makeLighter();
                 flow();
@@ -379,11 +379,11 @@
                 first = m;
                 firstAt = cameAt();
                 early.add(this);
-                room.asks(this); // it waits for an answer, and so makes way for nobody
+                limits.asks(this); // it waits for an answer, and so makes way for nobody
             } else if (m instanceof PgCodec.OpAsk ask && !skipping) {
                 op(ask, cameAt());
             } else if (m instanceof PgCodec.Hello) {
-                room.greeted(this);
+                limits.greeted(this);
                 put(PgCodec.welcome());
             } else if (m instanceof PgCodec.WantsCover) {
                 put(Buffer.buffer("N"));
@@ -409,8 +409,8 @@
 
         /** Ends with what it began; ops taken before that are answered first. */
         private void giveUp(String code, String why) {
-            room.greeted(this); // no stranger any more, since it is being answered
-            room.whole(this);
+            limits.greeted(this); // no stranger any more, since it is being answered
+            limits.whole(this);
             stream.clear();
             lighter(partial);
             partial = 0;
@@ -452,7 +452,7 @@
                 bad("42710", "the id of an op still in hand", false);
                 return;
             }
-            room.asks(this);
+            limits.asks(this);
             traffic.op(nowMs());
             asked.accept(nowMs());
             Slot slot = new Slot();
@@ -487,8 +487,8 @@
                 }
             }
             if (!closed && slots.isEmpty()) {
-                if (stream.held() == 0 && !room.isUnfinished(this)) {
-                    room.idle(this, nowMs());
+                if (stream.held() == 0 && !limits.isUnfinished(this)) {
+                    limits.idle(this, nowMs());
                 }
                 if (ending) {
                     endIfDone();
@@ -564,7 +564,7 @@
 
         private void over() {
             closed = true;
-            room.left(this);
+            limits.left(this);
             stream.clear(); // what refers to an ended session must not keep its bytes
             lighter(partial + unreadBytes);
             partial = 0;
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -25,7 +25,7 @@
 import ploverdale.model.OpType;
 import ploverdale.model.ServerId;
 import ploverdale.net.GatewayFile.ServerList;
-import ploverdale.room.Room;
+import ploverdale.limits.ConnectionLimits;
 
 /**
  * Owns the parts of one gateway: starts them in order, passes each action of the module to the part that carries
@@ -51,7 +51,7 @@
     private final PeerSide peers; // null where instances do not talk
     private final FleetSide fleet; // null but where a fleet file switches it on
     private final ReplicaSide past; // null but where that file has something kept
-    private final Room<ClientSide.Session> room;
+    private final ConnectionLimits<ClientSide.Session> limits;
     private int probesOut;
     private int probesEnded;
     private NetServer server; // held, since one that nobody holds may be closed
@@ -60,12 +60,12 @@
         this.vertx = vertx;
         this.log = log;
         this.file = file;
-        room = new Room<>(file.sockets());
+        limits = new ConnectionLimits<>(file.sockets());
         fleet = sharing.isEmpty() || file.peerListen() == null ? null
                 : new FleetSide(vertx, log, sharing.get(), file.terms().started(), (to, bytes) -> peers().send(to, bytes));
         loop = new LogicLoop(vertx, context, log, this, fleet == null ? null : fleet.shared());
-        clients = new ClientSide(vertx, log, loop, file.terms(), room);
-        servers = new ServerSide(vertx, log, file.terms(), room, this::makeRoom);
+        clients = new ClientSide(vertx, log, loop, file.terms(), limits);
+        servers = new ServerSide(vertx, log, file.terms(), limits, this::makeRoom);
         peers = file.peerListen() == null ? null : new PeerSide(vertx, log, loop, file.peers());
         if (fleet != null) {
             peers.readFirst(fleet::hears);
@@ -164,17 +164,17 @@
         }
     }
 
-    /** Has ended what the room says makes way for one more connection to a server; false where none may be opened yet. */
+    /** Has ended what the limits say makes way for one more connection to a server; false where none may be opened yet. */
     private boolean makeRoom() {
-        while (!room.serverFits()) {
-            Room.Leave<ClientSide.Session> way = room.wayForServer(System.nanoTime() / 1_000_000);
+        while (!limits.serverFits()) {
+            ConnectionLimits.Leave<ClientSide.Session> way = limits.wayForServer(System.nanoTime() / 1_000_000);
             if (way != null) {
                 clients.end(way);
             } else if (!servers.closeLongestIdle()) {
                 break;
             }
         }
-        return room.mayOpen();
+        return limits.mayOpen();
     }
 
     /** Where it listens. */
@@ -327,7 +327,7 @@
         runOnLoop(() -> {
             GatewayFile was = file;
             file = next;
-            room.renew(next.sockets());
+            limits.renew(next.sockets());
             boolean kept = next.listen().equals(was.listen())
                     && next.terms().started().opTypes().equals(was.terms().started().opTypes());
             log.line("new configuration: discovery at " + next.discovery().getAddress().getHostAddress() + ":"
--- a/gateway/src/main/java/ploverdale/net/ServerSide.java
+++ b/gateway/src/main/java/ploverdale/net/ServerSide.java
@@ -24,7 +24,7 @@
 import ploverdale.model.Report;
 import ploverdale.model.Report.Role;
 import ploverdale.net.LogicLoop.Clock;
-import ploverdale.room.Room;
+import ploverdale.limits.ConnectionLimits;
 import ploverdale.terms.Terms;
 
 /**
@@ -63,7 +63,7 @@
     private final Vertx vertx;
     private final Log log;
     private final Terms terms;
-    private final Room<?> room;
+    private final ConnectionLimits<?> limits;
     private final BooleanSupplier makeRoom;
     private final NetClient net;
     private final Map<ServerId, Server> servers = new HashMap<>();
@@ -71,11 +71,11 @@
     private final Set<Connection> idle = new LinkedHashSet<>(); // longest first
     private final Losses losses = new Losses();
 
-    public ServerSide(Vertx vertx, Log log, Terms terms, Room<?> room, BooleanSupplier makeRoom) {
+    public ServerSide(Vertx vertx, Log log, Terms terms, ConnectionLimits<?> limits, BooleanSupplier makeRoom) {
         this.vertx = vertx;
         this.log = log;
         this.terms = terms;
-        this.room = room;
+        this.limits = limits;
         this.makeRoom = makeRoom;
         net = vertx.createNetClient(new NetClientOptions().setConnectTimeout((int) ((terms.connectLimit() + 9) / 10))
                 .setReconnectAttempts(0).setTcpNoDelay(true));
@@ -167,7 +167,7 @@
             return;
         }
         if (tries == 0 || s.address == null) {
-            log.often("no room for a connection", "to server " + s.id.text() + ", " + room.servers() + " to servers");
+            log.often("no room for a connection", "to server " + s.id.text() + ", " + limits.servers() + " to servers");
             x.end(Outcome.NEVER_SENT, null, null, null);
         } else {
             vertx.setTimer(OPEN_AGAIN_MS, y -> openOrWait(s, x, tries - 1));
@@ -313,7 +313,7 @@
             this.server = server;
             this.address = server.address;
             this.opener = opener;
-            room.opened();
+            limits.opened();
         }
 
         private void open() {
@@ -498,8 +498,8 @@
         private void close() {
             if (!closed) {
                 closed = true;
-                room.released();
-                vertx.setTimer(1, x -> room.closed());
+                limits.released();
+                vertx.setTimer(1, x -> limits.closed());
                 vertx.cancelTimer(openTimer);
                 server.free.remove(this);
                 idle.remove(this);
