Connections on their way out are bounded by all descriptors, not by the few for crossings

Cause, by reading: ClientSide.part closed the longest of them as soon as there were more than a third of the spare descriptors (10 to 25), also where hundreds were free, as at a planned restart that ends all idle connections at once. Now where descriptors are short, and for a connection to a server first.

--- a/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
+++ b/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
@@ -60,9 +60,9 @@
         return clients;
     }
 
-    /** How many connections may be on their way out beside those that count as held. */
-    public int crossing() {
-        return crossing;
+    /** How many connections there are beyond those that may be, with those on their way out; below 0: so many less. */
+    public int over() {
+        return clients + servers + closing - connections;
     }
 
     public int strangers() {
--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -171,8 +171,8 @@
 
     /**
      * Ends a connection in order. Guards against a close over bytes that are still to be read, which would reset it and take
-     * answers back that are on their way: what is written goes out, the end behind it; what comes is read and dropped. No
-     * more than there are spare descriptors for: then those that have had longest are closed.
+     * answers back that are on their way: what is written goes out, the end behind it; what comes is read and dropped. Where
+     * descriptors are short, those that have had longest are closed.
      */
     private void part(NetSocket socket) {
         parting.add(socket);
@@ -182,8 +182,12 @@
             }
         });
         vertx.setTimer(PARTING_MS, x -> socket.close());
-        if (parting.size() > limits.crossing()) {
-            NetSocket longest = parting.iterator().next();
+        makeWay(limits.over());
+    }
+
+    /** Closes so many of the connections that have been ended here and not yet by their clients, longest first. */
+    public void makeWay(int many) {
+        for (NetSocket longest : parting.stream().limit(Math.max(0, many)).toList()) {
             parting.remove(longest);
             longest.close();
         }
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -174,6 +174,7 @@
                 break;
             }
         }
+        clients.makeWay(limits.over() + 1);
         return limits.mayOpen();
     }
 
