--- a/gateway/src/main/java/ploverdale/Logic.java
+++ b/gateway/src/main/java/ploverdale/Logic.java
@@ -26,7 +26,7 @@
     private static final long MARGIN = 10 * MS; // kept free before a limit, so that a tick does no harm
     private static final double FIRST_LIMIT = 24; // sends or first probes a server, over all gateways
     private static final double LEAST_LIMIT = 8; // the same, at the least; one or two a gateway
-    private static final double EARLY = 0.125; // of an op timeout, for the answer's way and standstills
+    private static final double EARLY = 0.02; // of an op timeout, for the answer's way and standstills
     private static final double COME_BACK = 0.25; // of the target; later, a second try would be in vain
 
     private RandomGenerator chance;
@@ -453,7 +453,7 @@
             op.firstMaybeServer = m;
         }
         boolean wrongRole = outcome == Outcome.TURNED_AWAY && op.type.needs() == Needs.WRITE;
-        if (wrongRole || outcome == Outcome.NEVER_SENT || allotment.again()) {
+        if (wrongRole || allotment.again()) {
             place(op);
         } else {
             finish(op); // guards against storms: repeats stay a small part of all sends
