--- a/gateway/src/main/java/ploverdale/net/LogicLoop.java
+++ b/gateway/src/main/java/ploverdale/net/LogicLoop.java
@@ -97,7 +97,8 @@
         if (!due) {
             due = true;
             if (behind() > 0) {
-                vertx.setTimer(READ_ON_MS, x -> drain());
+                // The first may come in this very turn of the loop, the second not before what is ready has been read.
+                vertx.setTimer(READ_ON_MS, x -> vertx.setTimer(READ_ON_MS, y -> drain()));
             } else {
                 context.runOnContext(x -> drain());
             }
