--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -36,7 +36,8 @@
 public final class ClientSide {
     private static final int AHEAD_MOST = 8; // commands of one client taken before their answers are out
     // Bytes of one client read beyond these, so that its leaving is seen: the end of a connection comes behind its bytes.
-    private static final int READ_AHEAD_MOST = 256 * 1024;
+    private static final int READ_AHEAD_MOST = 64 * 1024;
+    private static final int DROPPED_MOST = 64 * 1024; // of what a client writes after its end
     private static final long PARTING_MS = 500; // for a client to close, too, once its connection has been ended here
     private static final long LOOK_MS = 20;
     private static final long SILENT_MS = 20; // for a greeting, once the gateway ends connections
@@ -95,6 +96,7 @@
     private Past past; // null where gateways keep nothing together
     private boolean ready;
     private boolean ending;
+    private int unsent;
     private final Set<NetSocket> parting = new LinkedHashSet<>(); // ended here and not yet by their clients
     private long answersBy = Long.MAX_VALUE;
 
@@ -144,7 +146,6 @@
             log.often("no room for a connection", "of a client, " + limits.clients() + " of clients");
             limits.turnedAway();
             socket.exceptionHandler(e -> { });
-            socket.handler(b -> { });
             socket.closeHandler(x -> ended(socket));
             socket.write(PgCodec.problem("53300", "too many connections", null, true, false));
             part(socket);
@@ -164,9 +165,9 @@
         return sessions.size();
     }
 
-    /** Connections ended here that may still have answers on their way. */
-    public int parting() {
-        return parting.size();
+    /** Connections ended here whose last answers this process still has. */
+    public int unsent() {
+        return unsent;
     }
 
     /**
@@ -176,11 +177,22 @@
      */
     private void part(NetSocket socket) {
         parting.add(socket);
-        socket.write(Buffer.buffer()).onSuccess(x -> {
-            if (((NetSocketInternal) socket).channelHandlerContext().channel() instanceof DuplexChannel c) {
+        unsent++;
+        socket.write(Buffer.buffer()).onComplete(r -> {
+            unsent--;
+            if (r.succeeded() && ((NetSocketInternal) socket).channelHandlerContext().channel() instanceof DuplexChannel c) {
                 c.shutdownOutput();
             }
         });
+        // Guards against floods that cost a busy gateway the time to read what nobody wants: they are left where they are.
+        int[] dropped = {0};
+        socket.handler(more -> {
+            dropped[0] += more.length();
+            log.often("client bytes after its end", more.length() + " bytes, not read" + (ending ? ", in a planned restart" : ""));
+            if (dropped[0] > DROPPED_MOST) {
+                socket.pause();
+            }
+        });
         vertx.setTimer(PARTING_MS, x -> socket.close());
         makeWay(limits.over());
     }
@@ -533,7 +545,8 @@
             if (closed) {
                 return;
             }
-            boolean hold = stream.held() >= READ_AHEAD_MOST || load >= LOAD_MOST;
+            boolean waits = slots.size() >= AHEAD_MOST || unread || first != null; // not for the rest of a message
+            boolean hold = waits && stream.held() >= READ_AHEAD_MOST || load >= LOAD_MOST;
             if (load >= LOAD_MOST) {
                 heldBack.add(this);
             }
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -301,7 +301,7 @@
         clients.whenAsked(now -> shutdown.asked(now - began));
         vertx.setPeriodic(LOOK_MS, x -> {
             long passed = System.nanoTime() / 1_000_000 - began;
-            switch (shutdown.at(passed, clients.greeted() + clients.parting(), clients.opsInHand())) {
+            switch (shutdown.at(passed, clients.greeted() + clients.unsent(), clients.opsInHand())) {
                 case ENDS -> clients.endIdle();
                 case OVER -> {
                     log.line("planned restart: ends after " + passed + " ms, " + clients.opsInHand() + " ops unanswered, "
