After a pause what has come is read before timers act on its absence

Cause: the loop reads its sockets, then runs its timers. A process that is paused in its wait has the wait end as timed out with nothing read (the selector takes an interrupted wait whose time is over for that); one that is paused while it reads has read what was ready before. Either way timers that came due meanwhile run first: ClientSide.look ended connections as idle, ServerSide gave up sends whose answers were there, and servers were taken for silent (reads refused). Ruled out: the order of timers and queue inside a turn (each turn reads first where it was not paused), the accept queue (new connections are no candidates before they are read).

Mended: SleepingTransport reads once more when a turn took over 5 ms beyond its wait; ClientSide reads a connection right before it ends it as idle or unfinished, and nothing stands between that look and the end of output. Idle ends write a log line.

The ledger now tells a crossing (written less than 150 ms before the end) from a loss.

--- a/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
+++ b/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The descriptors of one gateway and who holds them. A client's connection is a stranger's until its greeting, then idle
@@ -183,6 +184,16 @@
                 ? oldest(idle, nowMs, MOMENT_MS, Why.IDLE) : l;
     }
 
+    /** Since when what was said of a connection has held without a break; empty where it holds no more. */
+    public OptionalLong heldSince(Leave<C> leave) {
+        Long since = switch (leave.why()) {
+            case NO_GREETING -> strangers.get(leave.who());
+            case UNFINISHED -> unfinished.get(leave.who());
+            case IDLE -> idle.get(leave.who());
+        };
+        return since == null ? OptionalLong.empty() : OptionalLong.of(since);
+    }
+
     /** The client whose message has been unfinished longest, or null. */
     public C longestUnfinished() {
         return unfinished.isEmpty() ? null : unfinished.keySet().iterator().next();
--- a/gateway/src/main/java/ploverdale/net/ClientSide.java
+++ b/gateway/src/main/java/ploverdale/net/ClientSide.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongConsumer;
 import ploverdale.shutdown.Traffic;
@@ -126,10 +127,23 @@
         }
     }
 
-    /** Ends a connection that is to make way: one that began something is told so, an idle one is closed. */
+    /**
+     * Ends a connection that is to make way: one that began something is told so, an idle one is closed. One whose client has
+     * asked by now stays: what the system holds for it is read first, since after a pause of this process a timer fires before
+     * the requests that came during the pause have been read.
+     */
     public void end(ConnectionLimits.Leave<Session> l) {
+        OptionalLong since = limits.heldSince(l);
+        NioSockets.readNow(l.who().socket);
+        if (since.isEmpty() || !since.equals(limits.heldSince(l))) {
+            return;
+        }
         if (l.why() == ConnectionLimits.Why.IDLE) {
-            l.who().close();
+            if (l.who().closeIfIdle()) {
+                log.often("idle client connection", "ended after " + l.sinceMs() + " ms, " + limits.clients() + " of clients");
+            } else {
+                limits.asks(l.who()); // it is not named again before it has been answered
+            }
             return;
         }
         String what = l.why() == ConnectionLimits.Why.NO_GREETING ? "client without a greeting" : "client with an unfinished message";
@@ -140,9 +154,11 @@
     /** Takes in a connection, in place of one that does nothing where there are many, or turns it away. */
     public void accept(NetSocket socket) {
         ConnectionLimits.Leave<Session> way = limits.clientFits() ? null : limits.wayForClient(nowMs());
-        if (way != null) {
+        while (way != null) {
             end(way);
-        } else if (!limits.clientFits()) {
+            way = limits.clientFits() ? null : limits.wayForClient(nowMs());
+        }
+        if (!limits.clientFits()) {
             log.often("no room for a connection", "of a client, " + limits.clients() + " of clients");
             limits.turnedAway();
             socket.exceptionHandler(e -> { });
@@ -176,7 +192,6 @@
      * descriptors are short, those that have had longest are closed.
      */
     private void part(NetSocket socket) {
-        parting.add(socket);
         unsent++;
         socket.write(Buffer.buffer()).onComplete(r -> {
             unsent--;
@@ -184,6 +199,12 @@
                 c.shutdownOutput();
             }
         });
+        dropInput(socket);
+    }
+
+    /** Reads and drops what still comes on a connection whose output has ended, and closes it after a while. */
+    private void dropInput(NetSocket socket) {
+        parting.add(socket);
         // Guards against floods that cost a busy gateway the time to read what nobody wants: they are left where they are.
         int[] dropped = {0};
         socket.handler(more -> {
@@ -193,14 +214,23 @@
                 socket.pause();
             }
         });
-        vertx.setTimer(PARTING_MS, x -> socket.close());
+        vertx.setTimer(PARTING_MS, x -> closeUnlessFlooded(socket, dropped[0]));
         makeWay(limits.over());
     }
 
+    /** Closes a connection that has been ended here, with nothing left to be read where that can be had: see {@link #part}. */
+    private static void closeUnlessFlooded(NetSocket socket, int dropped) {
+        if (dropped <= DROPPED_MOST) {
+            NioSockets.readNow(socket);
+        }
+        socket.close();
+    }
+
     /** Closes so many of the connections that have been ended here and not yet by their clients, longest first. */
     public void makeWay(int many) {
         for (NetSocket longest : parting.stream().limit(Math.max(0, many)).toList()) {
             parting.remove(longest);
+            NioSockets.readNow(longest);
             longest.close();
         }
     }
@@ -252,7 +282,7 @@
         ending = true;
         List<Session> idle = new ArrayList<>();
         limits.allIdle().forEach(idle::add);
-        idle.forEach(Session::endIfDone);
+        idle.forEach(Session::closeIfIdle);
     }
 
     /**
@@ -320,6 +350,7 @@
         private final PgCodec.ClientStream stream = new PgCodec.ClientStream();
         private final Deque<Slot> slots = new ArrayDeque<>();
         private boolean closed;
+        private boolean reading; // bytes that came are being taken in
         private boolean deaf;
         private boolean paused;
         private boolean readsOn;
@@ -343,12 +374,18 @@
                 log.often("client bytes after its end", more.length() + " bytes, not read" + (ending ? ", in a planned restart" : ""));
                 return;
             }
+            reading = true;
             try {
                 stream.feed(more);
                 read();
             } catch (RuntimeException e) { // ends here: this connection, nothing else
                 log.fault("client connection fault", e);
                 close();
+            } finally {
+                reading = false;
+            }
+            if (ending) {
+                closeIfIdle();
             }
         }
 
@@ -507,7 +544,7 @@
                     limits.idle(this, nowMs());
                 }
                 if (ending) {
-                    endIfDone();
+                    closeIfIdle();
                 }
             }
             if (!closed && !unread && socket.writeQueueFull()) {
@@ -533,11 +570,30 @@
             }
         }
 
-        /** Guards against ending a connection with a query already here, as one right behind its greeting. */
-        private void endIfDone() {
-            if (stream.greeted() && stream.held() == 0 && first == null) {
-                close();
+        /**
+         * Ends a connection whose client waits for nothing; false where it stays, as with a request on it that had not been
+         * read yet. Nothing stands between that last look and the end of output: what comes during a pause there is lost.
+         */
+        private boolean closeIfIdle() {
+            if (reading || !waitsForNothing()) {
+                return false; // once what came has been taken in this is asked again
+            }
+            NioSockets.readNow(socket);
+            if (!waitsForNothing()) {
+                return false;
             }
+            boolean outputEnded = NioSockets.shutdownOutputNow(socket);
+            over();
+            if (outputEnded) {
+                dropInput(socket);
+            } else {
+                part(socket);
+            }
+            return true;
+        }
+
+        private boolean waitsForNothing() {
+            return !closed && slots.isEmpty() && stream.greeted() && stream.held() == 0 && first == null;
         }
 
         /** Guards against clients that write more than they read: they are held back. */
--- a/gateway/src/main/java/ploverdale/net/SleepingTransport.java
+++ b/gateway/src/main/java/ploverdale/net/SleepingTransport.java
@@ -17,9 +17,16 @@
  * milliseconds and the loop rounds them to the nearest, so that it polls without a pause for the last half of one before
  * each timer: some hundred calls a second that do nothing, and far more where a clock stands while others run. Here a wait is
  * rounded up; a timer fires a part of a millisecond later. Must never keep the loop from a task or from bytes that came.
+ *
+ * <p>The loop reads its sockets and runs its timers behind that. When the process is paused in between, by a signal or for
+ * want of processor time, or while it waits (the wait then ends as timed out, with nothing to read), timers that came due
+ * during the pause would run before the bytes that came during it: an answer that is there would be given up as missing, a
+ * connection with a request in it closed as idle. So a turn that took longer than it should reads once more.
  */
 final class SleepingTransport implements io.vertx.core.transport.Transport, Transport {
     private static final long MS = 1_000_000; // in nanoseconds
+    private static final long LATE = 5 * MS; // longer than a wait and the reading behind it usually take beyond the wait
+    private static final int READS_AGAIN_MOST = 2; // in a turn, so that a flood keeps no timer from running
 
     private final Transport nio = io.vertx.core.transport.Transport.NIO.implementation();
 
@@ -74,11 +81,19 @@
         return nanos <= 0 || nanos > Long.MAX_VALUE - MS ? nanos : (nanos + MS - 1) / MS * MS;
     }
 
-    /** Hands the selector its waits rounded up, and all else as it is. */
-    private record Sleeping(IoHandler inner) implements IoHandler {
+    /** Hands the selector its waits rounded up, reads once more after a pause, and leaves all else as it is. */
+    record Sleeping(IoHandler inner) implements IoHandler {
         @Override
         public int run(IoHandlerContext loop) {
-            return inner.run(new Rounded(loop));
+            long began = System.nanoTime();
+            long longest = loop.canBlock() ? wholeMs(loop.delayNanos(began)) : 0;
+            int handled = inner.run(new Rounded(loop, true));
+            for (int i = 0; i < READS_AGAIN_MOST && System.nanoTime() - began - longest > LATE; i++) {
+                began = System.nanoTime();
+                longest = 0;
+                handled += inner.run(new Rounded(loop, false));
+            }
+            return handled;
         }
 
         @Override
@@ -112,10 +127,10 @@
         }
     }
 
-    private record Rounded(IoHandlerContext loop) implements IoHandlerContext {
+    private record Rounded(IoHandlerContext loop, boolean mayBlock) implements IoHandlerContext {
         @Override
         public boolean canBlock() {
-            return loop.canBlock();
+            return mayBlock && loop.canBlock(); // asked anew each time: another thread may add a task meanwhile
         }
 
         @Override
--- a/gateway/src/test/java/ploverdale/EndingsTest.java
+++ b/gateway/src/test/java/ploverdale/EndingsTest.java
@@ -141,6 +141,91 @@
         }
     }
 
+    private static List<Client> clients(Net net, int many) throws IOException {
+        List<Client> all = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            all.add(net.client());
+        }
+        return all;
+    }
+
+    @Test
+    void whatWasAskedDuringAPauseIsAnsweredAlsoWhereIdleConnectionsAreToEnd() throws Exception {
+        try (Net net = new Net("p").started(512, 30_000)) {
+            net.servers.get("p").writes = true;
+            List<Client> idle = clients(net, 80);
+            net.pauseBeforeTimers(() -> net.renew(256)); // 80 clients are too many then, and idle ones end
+            for (Client c : idle) {
+                c.ask(net.op("order"));
+            }
+            Thread.sleep(400); // the pause itself, longer than idle ones are left then
+            net.goOn();
+            for (Client c : idle) {
+                assertThat(c.answer()).as(net::log).isEqualTo(ROW_7);
+            }
+            net.logged("256 descriptors");
+        }
+    }
+
+    @Test
+    void whatWasAskedDuringAPauseIsAnsweredAlsoWhereAPlannedRestartEndsIdleConnections() throws Exception {
+        try (Net net = new Net("p").started()) {
+            net.servers.get("p").writes = true;
+            List<Client> idle = clients(net, 20);
+            CountDownLatch ended = new CountDownLatch(1);
+            net.gateway.runOnLoop(() -> net.gateway.endPlanned(ended));
+            net.logged("planned restart: 20 connections");
+            net.pauseBeforeTimers(() -> { });
+            for (Client c : idle) {
+                c.ask(net.op("order"));
+            }
+            Thread.sleep(2600); // so that idle ones are to end by then
+            net.goOn();
+            for (Client c : idle) { // refused, since no server has been heard for so long
+                assertThat(c.answer()).as(net::log).matches("53300 after \\d+ ready");
+                assertThat(c.answer()).isEqualTo("closed");
+            }
+            assertThat(ended.await(Net.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    @Test
+    void whoGreetedAndAskedDuringAPauseIsAnsweredAlsoWhereThoseWithoutAGreetingAreToEnd() throws Exception {
+        try (Net net = new Net("p").started(512, 30_000)) {
+            net.servers.get("p").writes = true;
+            List<Client> strangers = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                strangers.add(new Client(net.gateway.port()));
+            }
+            net.client(); // greeted behind those, so they have been let in
+            net.pauseBeforeTimers(() -> net.renew(64)); // 20 without a greeting are too many then
+            for (Client c : strangers) {
+                c.write(ploverdale.net.PgCodec.hello()).ask(net.op("order"));
+            }
+            Thread.sleep(400); // the pause itself
+            net.goOn();
+            for (Client c : strangers) {
+                assertThat(c.answer()).as(net::log).isEqualTo("ready");
+                assertThat(c.answer()).as(net::log).isEqualTo(ROW_7);
+                c.close();
+            }
+            net.logged("64 descriptors");
+        }
+    }
+
+    @Test
+    void anAnswerThatCameDuringAPauseCountsThoughItsAttemptTimedOutMeanwhile() throws Exception {
+        try (Net net = new Net("p").started()) {
+            Client c = net.client().ask(net.op("quick", 5000)); // an attempt is given up after some 600 ms
+            Got g = net.servers.get("p").next();
+            net.pauseWhileReading();
+            g.row(new byte[] {7});
+            Thread.sleep(800); // the pause itself
+            net.goOn();
+            assertThat(c.answer()).as(net::log).isEqualTo(ROW_7);
+        }
+    }
+
     @Test
     void aMessageInPiecesIsRefusedBeforeAPlannedRestartEnds() throws Exception {
         try (Net net = new Net("p", "r1").readable()) {
--- a/gateway/src/test/java/ploverdale/net/SleepingTransportTest.java
+++ b/gateway/src/test/java/ploverdale/net/SleepingTransportTest.java
@@ -2,6 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
 class SleepingTransportTest {
@@ -19,4 +27,69 @@
         assertThat(SleepingTransport.wholeMs(-5)).isEqualTo(-5);
         assertThat(SleepingTransport.wholeMs(Long.MAX_VALUE)).isEqualTo(Long.MAX_VALUE);
     }
+
+    @Test
+    void aTurnThatWasPausedReadsOnceMoreBeforeAnyTimerRuns() {
+        Turns turns = new Turns(50);
+        assertThat(new SleepingTransport.Sleeping(turns).run(new Loop(TimeUnit.MILLISECONDS.toNanos(10)))).isEqualTo(2);
+        assertThat(turns.mayBlock).containsExactly(true, false);
+    }
+
+    @Test
+    void aTurnThatOnlyWaitedForItsTimerDoesNot() {
+        Turns turns = new Turns(50);
+        assertThat(new SleepingTransport.Sleeping(turns).run(new Loop(TimeUnit.SECONDS.toNanos(30)))).isEqualTo(1);
+        assertThat(turns.mayBlock).containsExactly(true);
+    }
+
+    /** Stands in for the selector: its first turn takes so long, the others no time. */
+    private static final class Turns implements IoHandler {
+        private final long firstTakesMs;
+        private final List<Boolean> mayBlock = new ArrayList<>();
+
+        private Turns(long firstTakesMs) {
+            this.firstTakesMs = firstTakesMs;
+        }
+
+        @Override
+        public int run(IoHandlerContext loop) {
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mayBlock.isEmpty() ? firstTakesMs : 0);
+            mayBlock.add(loop.canBlock());
+            while (System.nanoTime() < end) {
+                LockSupport.parkNanos(end - System.nanoTime());
+            }
+            return 1;
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void wakeup() {}
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> type) {
+            return false;
+        }
+    }
+
+    /** A loop whose next timer is due after so many nanoseconds. */
+    private record Loop(long delay) implements IoHandlerContext {
+        @Override
+        public boolean canBlock() {
+            return true;
+        }
+
+        @Override
+        public long delayNanos(long now) {
+            return delay;
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return delay;
+        }
+    }
 }
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
 import ploverdale.net.LogicLoop.Clock;
 import ploverdale.tools.fleet.Day.Step;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
@@ -53,22 +54,48 @@
      * @param opsPerSecond asked of each gateway, by number
      * @param settlesMs between the moment at which all serve and the first op; the day begins with the first op
      * @param roams how clients with sessions ask beside those, or null
+     * @param crowd of client connections at each gateway
      */
-    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams) {
+    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams,
+            Crowd crowd) {
+        /** The same with as few connections as serve. */
+        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams) {
+            this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
+        }
+
         /** The same without clients that roam. */
         public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic) {
             this(launch, opsPerSecond, settlesMs, traffic, null);
         }
 
+        /** The same with this crowd. */
+        public Shape with(Crowd others) {
+            return new Shape(launch, opsPerSecond, settlesMs, traffic, roams, others);
+        }
+
         /** All gateways are asked as much, from the beginning. */
         public static Shape even(Launch launch, int gateways, double opsPerSecond) {
             return new Shape(launch, Collections.nCopies(gateways, opsPerSecond), 0, (op, server, now, comes) -> { });
         }
     }
 
-    /** What a day showed. */
+    /**
+     * How many connections clients hold at a gateway, and its descriptors.
+     *
+     * @param connections that its clients open and use in turn; 0: as few as serve
+     */
+    public record Crowd(int connections, int descriptors) {
+        /** As few as serve, and descriptors enough. */
+        public static final Crowd NONE = new Crowd(0, Told.DESCRIPTORS);
+    }
+
+    /**
+     * What a day showed.
+     *
+     * @param late by how much answers came after their time, 0 for those in time, in microseconds
+     */
     public record Shown(Day day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
-            int writesAcked, List<Long> startsMs, List<String> log, Roamers roamers) {
+            int writesAcked, List<Long> startsMs, List<String> log, Roamers roamers, Histogram late) {
         /** A line of figures. */
         public String figures() {
             return String.format(Locale.ROOT, "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms", ops, readsAcked,
@@ -185,7 +212,9 @@
         ways.values().forEach(Way::close);
         link.close();
         int[] sums = new int[4];
+        Histogram late = new Histogram(Clients.LONGEST_US, 3);
         for (Clients c : clients) {
+            late.add(c.late());
             sums[0] += c.tally(false, false).asked();
             sums[1] += c.tally(false, false).acked();
             sums[2] += c.tally(true, false).asked();
@@ -194,7 +223,7 @@
         List<Ledger.Broken> broken = ledger.close(Clock.now());
         broken.forEach(b -> note("ledger", b.toString()));
         return new Shown(day, broken, ledger.ops(), sums[0], sums[1], sums[2], sums[3], List.copyOf(startsMs),
-                List.copyOf(log), roamers);
+                List.copyOf(log), roamers, late);
     }
 
     private Future<?> prepare(int me) {
@@ -208,6 +237,7 @@
         Future<?> all = way(me, "clients", link.host(me), listens.get(me)).onSuccess(w -> {
             Clients c = new Clients(vertx, ledger, chance.split(), Integer.toString(me), w.port(), BOUND_MS * MS);
             c.gatewayIs(() -> gateways.get(me).alive());
+            c.holds(shape.crowd().connections());
             clients.add(c);
         }).compose(x -> world.discovery(Integer.toString(me))).compose(port -> way(me, "discovery", "127.0.0.1", port))
                 .onSuccess(w -> discoveries.add(w.port()));
@@ -229,7 +259,7 @@
             peers.add(link.address(i, me));
         }
         Told told = new Told(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
-                world.list(Integer.toString(me), true), chance.nextLong(), BOUND_MS);
+                world.list(Integer.toString(me), true), chance.nextLong(), BOUND_MS, shape.crowd().descriptors());
         GatewayProcess g = gateways.get(me);
         long from = System.nanoTime();
         CompletableFuture<Void> ready = g.ended().thenCompose(x -> {
@@ -257,7 +287,7 @@
                 }
                 case START -> up(me).onFailure(e -> note("script", "start fails: " + e.getMessage()));
                 case STOP -> {
-                    ledger.excused(Integer.toString(me), Clock.now());
+                    ledger.paused(Integer.toString(me), Clock.now());
                     gateways.get(me).stop();
                 }
                 case GO_ON -> {
--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -27,6 +27,7 @@
     private final Launch launch;
     private final BiConsumer<String, String> log;
     private Process process;
+    private boolean killed;
     private CompletableFuture<Void> ready;
 
     /**
@@ -87,6 +88,7 @@
         Process p = new ProcessBuilder(line).redirectErrorStream(true).start();
         CompletableFuture<Void> up = new CompletableFuture<>();
         process = p;
+        killed = false;
         ready = up;
         Thread reader = new Thread(() -> read(p, up, file), "log-of-" + name);
         reader.setDaemon(true);
@@ -114,7 +116,7 @@
     }
 
     public boolean alive() {
-        return process != null && process.isAlive();
+        return process != null && !killed && process.isAlive();
     }
 
     public boolean isReady() {
@@ -127,6 +129,7 @@
 
     /** SIGKILL: gone at once; done when the system has taken all back that it had. */
     public CompletableFuture<Void> kill() {
+        killed = true;
         return process == null ? CompletableFuture.completedFuture(null)
                 : process.destroyForcibly().onExit().orTimeout(ENDS_WITHIN_S, TimeUnit.SECONDS).thenApply(x -> null);
     }
--- a/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
+++ b/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
@@ -23,6 +23,24 @@
     private static final long MS = 10;
     private static final long SLACK = 500; // of the platform's rules on sockets, and for this account's own lateness
 
+    private static final long CROSSING = 1500; // between the end of a connection and an op that the other side wrote at that time
+
+    /** Why a gateway may be late: what it was sent within this time may stay unanswered. */
+    private static final class Excuse {
+        private final long from;
+        private final boolean paused; // it only stood still, and has to answer what came meanwhile
+        private long to = Long.MAX_VALUE;
+
+        private Excuse(long from, boolean paused) {
+            this.from = from;
+            this.paused = paused;
+        }
+
+        private boolean covers(Entry e) {
+            return e.takenAt <= to && e.timeoutAt + SLACK >= from;
+        }
+    }
+
     private static final class Entry {
         private final Kind kind;
         private final String write;
@@ -54,7 +72,7 @@
     private final Map<String, Long> sessions = new HashMap<>(); // by session, the position of its last acked write
     private final Map<String, Long> drainingSince = new HashMap<>(); // by gateway and server
     private final Map<String, Integer> sends = new HashMap<>(); // of writes, by gateway and server
-    private final Map<String, List<long[]>> excuses = new HashMap<>(); // by gateway, from and to
+    private final Map<String, List<Excuse>> excuses = new HashMap<>(); // by gateway
     private final List<Broken> broken = new ArrayList<>();
 
     /** @param grace after which nothing new goes to a draining server */
@@ -96,17 +114,21 @@
 
     /** This gateway is dead, stopped, or cut off from its clients from now on: what it has in hand may stay unanswered. */
     public void excused(String gateway, long from) {
-        excuses.computeIfAbsent(gateway, x -> new ArrayList<>()).add(new long[] {from, Long.MAX_VALUE});
+        excuses.computeIfAbsent(gateway, x -> new ArrayList<>()).add(new Excuse(from, false));
+    }
+
+    /** It stands still from now on: its answers may be late, but it may not end a connection with an op that came meanwhile. */
+    public void paused(String gateway, long from) {
+        excuses.computeIfAbsent(gateway, x -> new ArrayList<>()).add(new Excuse(from, true));
     }
 
     /** It answers again from now on; what it was sent meanwhile may still come late. */
     public void answersAgain(String gateway, long at) {
-        excuses.getOrDefault(gateway, List.of()).forEach(e -> e[1] = Math.min(e[1], at));
+        excuses.getOrDefault(gateway, List.of()).forEach(e -> e.to = Math.min(e.to, at));
     }
 
     private boolean isExcused(Entry e) {
-        return excuses.getOrDefault(e.gateway, List.of()).stream()
-                .anyMatch(x -> e.takenAt <= x[1] && e.timeoutAt + SLACK >= x[0]);
+        return excuses.getOrDefault(e.gateway, List.of()).stream().anyMatch(x -> x.covers(e));
     }
 
     /** Its connection was ended between ops, and this one crossed that: not taken, unless it was sent on. */
@@ -117,6 +139,20 @@
         }
     }
 
+    /**
+     * The gateway, which lives, ended a connection at that time with this op on it and no answer. That breaks a rule where the
+     * op was sent on, or had come so long before that the gateway could have read it; otherwise it crossed the end.
+     */
+    public void endedUnanswered(String op, long at) {
+        Entry e = ops.get(op);
+        boolean excused = excuses.getOrDefault(e.gateway, List.of()).stream().anyMatch(x -> !x.paused && x.covers(e));
+        if (!excused && (e.sent || at - e.takenAt > CROSSING)) {
+            breaks(Rule.ONE_ANSWER_IN_TIME, op + " lost its connection " + (at - e.takenAt) / 10 + " ms after it was written"
+                    + (e.sent ? ", sent on" : "") + ", with no answer");
+        }
+        ops.remove(op);
+    }
+
     /** The client has gone. */
     public void left(String op) {
         ops.get(op).left = true;
--- /dev/null
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -0,0 +1,99 @@
+package ploverdale.tools.rig;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.random.RandomGenerator;
+import org.HdrHistogram.Histogram;
+import ploverdale.tools.fleet.Day;
+import ploverdale.tools.fleet.Day.Step;
+import ploverdale.tools.fleet.Day.What;
+import ploverdale.tools.fleet.Fleet;
+import ploverdale.tools.fleet.Fleet.Crowd;
+import ploverdale.tools.fleet.Fleet.Shape;
+import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.GatewayProcess.Launch;
+
+/**
+ * Gateways as processes, each paused again and again for a part of a second (as on a machine that gives them too little
+ * processor time) while its clients hold more connections than it keeps idle. What was accepted during a pause must be
+ * answered: it is lost if its connection is ended instead.
+ */
+final class Pauses {
+    private static final int GATEWAYS = 2;
+    private static final long LASTS_MS = 10_000;
+    private static final long FIRST_MS = 800;
+    private static final long PAUSE_LEAST_MS = 100;
+    private static final long PAUSE_MOST_MS = 600;
+    private static final long BETWEEN_LEAST_MS = 150;
+    private static final long BETWEEN_MOST_MS = 600;
+    private static final double OPS_PER_SECOND = 120; // of each gateway
+    private static final Crowd CROWD = new Crowd(60, 160); // idle connections end after a moment where there are over 40
+    private static final int LINES = 60; // of the log of a day that fails
+
+    private Pauses() {}
+
+    static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
+        Launch launch;
+        try {
+            launch = Launch.found(List.of());
+        } catch (IOException e) {
+            return List.of(new Check("gateways as processes", e.getMessage(), false));
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(atATime);
+        List<Future<Check>> runs = new ArrayList<>();
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            Day day = day(seed);
+            runs.add(pool.submit(() -> check(Fleet.play(day, shape(launch)))));
+        }
+        List<Check> checks = new ArrayList<>();
+        for (Future<Check> r : runs) {
+            try {
+                checks.add(r.get());
+            } catch (ExecutionException e) {
+                checks.add(new Check("a day that was not played", String.valueOf(e.getCause()), false));
+            }
+        }
+        pool.shutdown();
+        return checks;
+    }
+
+    static Shape shape(Launch launch) {
+        return Shape.even(launch, GATEWAYS, OPS_PER_SECOND).with(CROWD);
+    }
+
+    /** A day of that seed, on which each gateway is paused in turn. */
+    static Day day(long seed) {
+        RandomGenerator chance = new SplittableRandom(seed);
+        List<Step> steps = new ArrayList<>();
+        for (int i = 0; i < GATEWAYS; i++) {
+            long at = FIRST_MS + chance.nextLong(BETWEEN_MOST_MS);
+            while (at < LASTS_MS - PAUSE_MOST_MS) {
+                long until = at + chance.nextLong(PAUSE_LEAST_MS, PAUSE_MOST_MS);
+                steps.add(Step.of(at, What.STOP, "n" + i));
+                steps.add(Step.of(until, What.GO_ON, "n" + i));
+                at = until + chance.nextLong(BETWEEN_LEAST_MS, BETWEEN_MOST_MS);
+            }
+        }
+        return new Day(seed, GATEWAYS, LASTS_MS, steps);
+    }
+
+    private static Check check(Shown s) {
+        Histogram late = s.late();
+        String figures = s.figures() + String.format(Locale.ROOT, ", answers after their time: p50 %.1f p99 %.1f most %.1f ms",
+                late.getValueAtPercentile(50) / 1000.0, late.getValueAtPercentile(99) / 1000.0, late.getMaxValue() / 1000.0);
+        String name = "seed " + s.day().seed() + ", " + s.day().steps().size() / 2 + " pauses: no rule broken";
+        if (s.broken().isEmpty()) {
+            return new Check(name, figures, true);
+        }
+        List<String> log = s.log();
+        return new Check(name, figures + ", broken " + s.broken().size() + ", first " + s.broken().get(0) + "\n" + s.day().text()
+                + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())), false);
+    }
+}
--- a/tools/src/main/java/ploverdale/tools/stand/Clients.java
+++ b/tools/src/main/java/ploverdale/tools/stand/Clients.java
@@ -28,7 +28,7 @@
         private int acked;
         private int busy;
         private int errored;
-        private final Histogram latency = new Histogram(60_000_000, 3); // of the acked, in microseconds
+        private final Histogram latency = new Histogram(LONGEST_US, 3); // of the acked, in microseconds
 
         public int asked() {
             return asked;
@@ -51,6 +51,9 @@
         }
     }
 
+    /** No time is recorded as longer, in microseconds. */
+    public static final long LONGEST_US = 60_000_000;
+
     private static final long AGAIN_MS = 40;
     private static final long GIVES_UP_AFTER_MS = 1000; // past its time; the ledger tells what that breaks
     private static final int WRITE_WAITS_MS = 1500;
@@ -66,6 +69,9 @@
     private final NetClient net;
     private final Deque<Conn> idle = new ArrayDeque<>();
     private final Map<String, Tally> tallies = new HashMap<>();
+    private final Histogram late = new Histogram(LONGEST_US, 3);
+    private int held; // connections that are to be held; see holds
+    private int open;
     private long startedAt;
     private long first;
     private int names;
@@ -90,6 +96,16 @@
         this.alive = alive;
     }
 
+    /** Opens up to so many connections and uses them in turn, as clients with pools do; 0: as few as serve, the last first. */
+    public void holds(int connections) {
+        held = connections;
+    }
+
+    /** By how much answers came after their time, 0 for those in time, in microseconds. */
+    public Histogram late() {
+        return late;
+    }
+
     /** Asks so many ops a second from now on; the first ones are those of so many milliseconds. */
     public void start(double perSecond, long firstMs) {
         startedAt = System.nanoTime();
@@ -128,7 +144,7 @@
         for (Tally t : a.counted) {
             t.asked += again ? 0 : 1;
         }
-        Conn c = idle.pollLast();
+        Conn c = held == 0 ? idle.pollLast() : open < held ? null : idle.pollFirst();
         if (c != null) {
             c.write(a);
         } else {
@@ -143,6 +159,7 @@
         private final boolean again;
         private final long at = System.nanoTime();
         private final Tally[] counted;
+        private long writtenAt;
 
         private Ask(boolean write, String name, String id, boolean again) {
             this.write = write;
@@ -153,22 +170,27 @@
             counted = first ? new Tally[] {tally(write, true), tally(write, false)} : new Tally[] {tally(write, false)};
         }
 
+        private long waitsMs() {
+            return write ? WRITE_WAITS_MS : READ_WAITS_MS;
+        }
+
         private Buffer text() {
-            int waits = write ? WRITE_WAITS_MS : READ_WAITS_MS;
-            String comment = " /* id=" + id + ",c=" + (write ? "put" : "view") + ",t=all,d=" + waits + ",cluster=0"
+            String comment = " /* id=" + id + ",c=" + (write ? "put" : "view") + ",t=all,d=" + waitsMs() + ",cluster=0"
                     + (again ? ",r=1" : "") + " */";
             return PgCodec.query((write ? "INSERT INTO state (uid, val) VALUES ('" + name + "', '\\x00') RETURNING val"
                     : "SELECT val FROM state WHERE uid = '" + name + "'") + comment);
         }
 
         private void ended(Answer answer) {
+            long tookUs = (System.nanoTime() - writtenAt) / 1000;
+            late.recordValue(Math.max(0, Math.min(LONGEST_US, tookUs - waitsMs() * 1000)));
             ledger.answered(id, answer, Clock.now());
             for (Tally t : counted) {
                 t.acked += answer == Answer.ACKED ? 1 : 0;
                 t.busy += answer == Answer.BUSY ? 1 : 0;
                 t.errored += answer == Answer.ERRORED ? 1 : 0;
                 if (answer == Answer.ACKED) {
-                    t.latency.recordValue(Math.min(60_000_000, (System.nanoTime() - at) / 1000));
+                    t.latency.recordValue(Math.min(LONGEST_US, (System.nanoTime() - at) / 1000));
                 }
             }
             over();
@@ -197,8 +219,10 @@
 
         private Conn(Ask first) {
             ask = first;
+            open++;
             net.connect(port, "127.0.0.1").onComplete(r -> {
                 if (r.failed()) {
+                    open--;
                     neverTaken(ask);
                     return;
                 }
@@ -213,7 +237,8 @@
         private void write(Ask a) {
             ask = a;
             answer = null;
-            long waits = (a.write ? WRITE_WAITS_MS : READ_WAITS_MS) * 10L;
+            long waits = a.waitsMs() * 10;
+            a.writtenAt = System.nanoTime();
             long now = Clock.now();
             ledger.taken(a.id, new Ledger.Kind(a.write, false, a.write ? 0 : bound), a.name, gateway, now, now + waits);
             socket.write(a.text());
@@ -248,6 +273,7 @@
         }
 
         private void closed() {
+            open--;
             idle.remove(this);
             Ask a = ask;
             ask = null;
@@ -261,6 +287,7 @@
                     neverTaken(a); // turned away at the greeting
                 }
             } else if (alive.getAsBoolean()) {
+                ledger.endedUnanswered(a.id, Clock.now());
                 new Conn(a); // it crossed the gateway's close: once more, on a new connection
             } else {
                 neverTaken(a);
--- a/tools/src/test/java/ploverdale/tools/ledger/LedgerTest.java
+++ b/tools/src/test/java/ploverdale/tools/ledger/LedgerTest.java
@@ -47,6 +47,34 @@
         broken().containsOnly(Rule.ONE_ANSWER_IN_TIME).hasSize(3);
     }
 
+    @Test
+    void aConnectionThatEndsUnderAnOpThatCouldHaveBeenReadOrWasSentOn() {
+        ledger.taken("crossed", READ, "a", "0", 1000, 9000);
+        ledger.endedUnanswered("crossed", 2000);
+        ledger.taken("lost", READ, "b", "0", 1000, 9000);
+        ledger.endedUnanswered("lost", 4000);
+        ledger.taken("sent on", READ, "c", "0", 1000, 9000);
+        ledger.sent("sent on", "r", 1100);
+        ledger.endedUnanswered("sent on", 1200);
+        ledger.taken("of one that was killed", READ, "d", "1", 1000, 9000);
+        ledger.excused("1", 3000);
+        ledger.endedUnanswered("of one that was killed", 4000);
+        ledger.taken("of one that was paused", READ, "e", "2", 1000, 9000);
+        ledger.paused("2", 900);
+        ledger.answersAgain("2", 4000);
+        ledger.endedUnanswered("of one that was paused", 4000);
+        broken().containsOnly(Rule.ONE_ANSWER_IN_TIME).hasSize(3);
+    }
+
+    @Test
+    void aPauseExcusesALateAnswer() {
+        ledger.paused("0", 900);
+        ledger.taken("late", READ, "a", "0", 1000, 5000);
+        ledger.answersAgain("0", 6000);
+        ledger.answered("late", Answer.ERRORED, 6100);
+        broken().isEmpty();
+    }
+
     @Test
     void aSendAfterTheAnswer() {
         taken("a", READ);
