--- a/tools/src/main/java/ploverdale/tools/fleet/Day.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Day.java
@@ -25,7 +25,7 @@
         GO_ON(1),
         /** SIGTERM (gateway). */
         LEAVE(1),
-        /** The way of connections (gateway, a server or "discovery" or "clients", a {@link Way.State} or delay:MS or bytes:N or reset). */
+        /** The way of connections (gateway, a server or "discovery" or "clients", a {@link FaultyLink.State} or delay:MS or bytes:N or reset). */
         WAY(3),
         /** Datagrams in one direction (from, to, loss:SHARE or twice:SHARE or delay:MS or usual). */
         WORDS(3),
--- a/tools/src/main/java/ploverdale/tools/fleet/Way.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultyLink.java
@@ -22,7 +22,7 @@
  * of them, cuts what is open with a reset, delays, or lets through so many bytes a second. What is held comes when it is
  * healed, as on a network that was away. Belongs to one event loop.
  */
-public final class Way {
+public final class FaultyLink {
     /** What it does with bytes. */
     public enum State { OPEN, SILENT, SILENT_THERE, SILENT_BACK, REFUSES }
 
@@ -38,7 +38,7 @@
     private long delayMs;
     private int bytesAStep; // 0: all
 
-    private Way(Vertx vertx, String host, int target) {
+    private FaultyLink(Vertx vertx, String host, int target) {
         this.vertx = vertx;
         this.host = host;
         this.target = target;
@@ -46,8 +46,8 @@
     }
 
     /** A way to an address of loopback; done when it can be used. */
-    public static Future<Way> open(Vertx vertx, String host, int target) {
-        Way way = new Way(vertx, host, target);
+    public static Future<FaultyLink> open(Vertx vertx, String host, int target) {
+        FaultyLink way = new FaultyLink(vertx, host, target);
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true)).connectHandler(s -> way.new Pair(s))
                 .listen(0, "127.0.0.1").map(s -> {
                     way.server = s;
@@ -116,7 +116,7 @@
 
         private Pair(NetSocket from) {
             if (state == State.REFUSES) {
-                Way.reset(from);
+                FaultyLink.reset(from);
                 return;
             }
             pairs.add(this);
@@ -126,7 +126,7 @@
                 if (r.failed() || over) {
                     reset();
                     if (r.succeeded()) {
-                        Way.reset(r.result());
+                        FaultyLink.reset(r.result());
                     }
                     return;
                 }
@@ -155,8 +155,8 @@
         private void reset() {
             over = true;
             pairs.remove(this);
-            Way.reset(there.to);
-            Way.reset(back.to);
+            FaultyLink.reset(there.to);
+            FaultyLink.reset(back.to);
         }
 
         private void flow() {
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -113,7 +113,7 @@
     private final List<Integer> listens = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
     private final List<Integer> discoveries = new ArrayList<>();
-    private final Map<String, Way> ways = new LinkedHashMap<>(); // by gateway and other end
+    private final Map<String, FaultyLink> ways = new LinkedHashMap<>(); // by gateway and other end
     private final Map<String, Boolean> cutOff = new HashMap<>(); // from discovery
     private final List<Long> startsMs = Collections.synchronizedList(new ArrayList<>());
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
@@ -190,7 +190,7 @@
             }
             return vertx.timer(day.lastsMs(), TimeUnit.MILLISECONDS);
         }).compose(x -> {
-            ways.values().forEach(Way::heal);
+            ways.values().forEach(FaultyLink::heal);
             if (roamers != null) {
                 roamers.stop();
             }
@@ -209,7 +209,7 @@
 
     private Shown shown() {
         world.close();
-        ways.values().forEach(Way::close);
+        ways.values().forEach(FaultyLink::close);
         link.close();
         int[] sums = new int[4];
         Histogram late = new Histogram(Clients.LONGEST_US, 3);
@@ -243,13 +243,13 @@
                 .onSuccess(w -> discoveries.add(w.port()));
         for (String s : SERVERS) {
             all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s))).onSuccess(
-                    w -> world.seenAt(Integer.toString(me), s, ((Way) w).port()));
+                    w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
         }
         return all;
     }
 
-    private Future<Way> way(int me, String end, String host, int port) {
-        return Way.open(vertx, host, port).onSuccess(w -> ways.put("n" + me + " " + end, w));
+    private Future<FaultyLink> way(int me, String end, String host, int port) {
+        return FaultyLink.open(vertx, host, port).onSuccess(w -> ways.put("n" + me + " " + end, w));
     }
 
     /** Starts a gateway, also again, once an earlier process of its name has ended. */
@@ -306,7 +306,7 @@
     }
 
     private void way(int me, String end, String what) {
-        Way way = ways.get("n" + me + " " + end);
+        FaultyLink way = ways.get("n" + me + " " + end);
         if (end.equals("discovery")) {
             cutOff.put(Integer.toString(me), !what.equals("OPEN"));
         }
@@ -324,7 +324,7 @@
         } else if (what.equals("OPEN")) {
             way.heal();
         } else {
-            way.state(Way.State.valueOf(what));
+            way.state(FaultyLink.State.valueOf(what));
         }
     }
 
