--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -29,7 +29,7 @@
 import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.Roamers;
 import ploverdale.tools.stand.Told;
-import ploverdale.tools.stand.World;
+import ploverdale.tools.stand.TestCluster;
 
 /**
  * Plays one day: gateways as processes among stand-in servers, discovery and clients, with a way of its own between any
@@ -56,15 +56,15 @@
      * @param roams how clients with sessions ask beside those, or null
      * @param crowd of client connections at each gateway
      */
-    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams,
+    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, Roamers.Habit roams,
             Crowd crowd) {
         /** The same with as few connections as serve. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams) {
+        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, Roamers.Habit roams) {
             this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
         }
 
         /** The same without clients that roam. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic) {
+        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic) {
             this(launch, opsPerSecond, settlesMs, traffic, null);
         }
 
@@ -108,7 +108,7 @@
     private final Shape shape;
     private final SplittableRandom chance;
     private final Ledger ledger = new Ledger(DRAIN_GRACE_MS * MS);
-    private final World world;
+    private final TestCluster world;
     private final List<GatewayProcess> gateways = new ArrayList<>();
     private final List<Integer> listens = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
@@ -129,7 +129,7 @@
         Plan plan = new Plan((shape.roams() == null ? SHIP_MS : SHIP_ROAMING_MS) * MS, 300 * MS, 600 * MS, 300 * MS, 4, 8 * MS, 0.3, 6000 * MS, 2.5, 1000 * MS,
                 5000 * MS, 4);
         GroupModel model = new GroupModel(plan, chance.split(), SERVERS, Clock.now(), (now, what) -> note("world", what));
-        world = new World(vertx, model, ledger, SERVERS, LIST_LATE_MS);
+        world = new TestCluster(vertx, model, ledger, SERVERS, LIST_LATE_MS);
         world.traffic(shape.traffic());
         world.hearsLists(g -> !cutOff.getOrDefault(g, false));
     }
--- a/tools/src/main/java/ploverdale/tools/lab/FleetModel.java
+++ b/tools/src/main/java/ploverdale/tools/lab/FleetModel.java
@@ -29,7 +29,7 @@
      * @param drift by which clocks run fast or slow, at most, as a share
      * @param delay of a datagram, at most
      */
-    public record World(Division division, Leasing leasing, double drift, double loss, double twice, long delay,
+    public record TestCluster(Division division, Leasing leasing, double drift, double loss, double twice, long delay,
             double bytesPerSecond) {}
 
     private record Event(long at, long order, Runnable what) implements Comparable<Event> {
@@ -195,7 +195,7 @@
         }
     }
 
-    private final World world;
+    private final TestCluster world;
     private final SplittableRandom chance;
     private final List<Instance> instances = new ArrayList<>();
     private final List<Spending> spending = new ArrayList<>();
@@ -205,7 +205,7 @@
     private long now;
     private long order;
 
-    public FleetModel(World world, long seed) {
+    public FleetModel(TestCluster world, long seed) {
         this.world = world;
         chance = new SplittableRandom(seed);
         loss = world.loss;
--- a/tools/src/main/java/ploverdale/tools/lab/ReplicaModel.java
+++ b/tools/src/main/java/ploverdale/tools/lab/ReplicaModel.java
@@ -37,7 +37,7 @@
      * @param drift by which clocks that never step run fast or slow, at most; the Unix clock is off by less than is told
      * @param delay of a datagram, at most
      */
-    public record World(int gateways, Keeping keeping, double drift, double loss, double twice, long delay,
+    public record TestCluster(int gateways, Keeping keeping, double drift, double loss, double twice, long delay,
             double bytesPerSecond) {}
 
     private record Event(long at, long order, Runnable what) implements Comparable<Event> {
@@ -178,7 +178,7 @@
         }
     }
 
-    private final World world;
+    private final TestCluster world;
     private final SplittableRandom chance;
     private final List<Instance> instances = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -193,7 +193,7 @@
     private long now;
     private long order;
 
-    public ReplicaModel(World world, long seed) {
+    public ReplicaModel(TestCluster world, long seed) {
         this.world = world;
         chance = new SplittableRandom(seed);
         loss = world.loss;
--- a/tools/src/main/java/ploverdale/tools/lab/SmallSubmits.java
+++ b/tools/src/main/java/ploverdale/tools/lab/SmallSubmits.java
@@ -35,7 +35,7 @@
     private record Message(int from, long start, int to, byte[] bytes) {}
 
     /** One course. */
-    private static final class World {
+    private static final class TestCluster {
         private final Replicas[] gateways = new Replicas[GATEWAYS];
         private final Packing[] packing = new Packing[GATEWAYS];
         private final long[] start = new long[GATEWAYS];
@@ -48,7 +48,7 @@
         private int granted;
 
         /** @param startsAsIf by which a start is taken to be longer ago than it is; more than none is a mistake that must be found */
-        private World(long startsAsIf) {
+        private TestCluster(long startsAsIf) {
             this.startsAsIf = startsAsIf;
             for (int i = 0; i < GATEWAYS; i++) {
                 starts(i, 0);
@@ -136,7 +136,7 @@
             List<String> path = paths.poll();
             for (String choice : played(startsAsIf, path).choices()) {
                 courses++;
-                World w = played(startsAsIf, path);
+                TestCluster w = played(startsAsIf, path);
                 w.happens(choice);
                 List<String> longer = new ArrayList<>(path);
                 longer.add(choice);
@@ -151,8 +151,8 @@
         return new Seen(courses, seen.size(), null);
     }
 
-    private static World played(long startsAsIf, List<String> path) {
-        World w = new World(startsAsIf);
+    private static TestCluster played(long startsAsIf, List<String> path) {
+        TestCluster w = new TestCluster(startsAsIf);
         path.forEach(w::happens);
         return w;
     }
--- a/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
@@ -18,7 +18,7 @@
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.stand.World;
+import ploverdale.tools.stand.TestCluster;
 
 /**
  * Sends out at each server as a budget of the fleet: gateways as processes, one asked five times as much as the others,
@@ -35,7 +35,7 @@
     private BudgetsRig() {}
 
     /** What is out at each server, counted there. */
-    static final class Out implements World.Traffic {
+    static final class Out implements TestCluster.Traffic {
         private final Map<String, Integer> now = new HashMap<>();
         private final int whole;
         private int most;
@@ -116,7 +116,7 @@
         return checks;
     }
 
-    private static Shape shape(Launch launch, World.Traffic traffic) {
+    private static Shape shape(Launch launch, TestCluster.Traffic traffic) {
         List<Double> rates = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
             rates.add(i == 0 ? MORE * OPS_PER_SECOND : OPS_PER_SECOND);
--- a/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
+++ b/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
@@ -24,7 +24,7 @@
 import ploverdale.tools.stand.Clients;
 import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.Told;
-import ploverdale.tools.stand.World;
+import ploverdale.tools.stand.TestCluster;
 
 /**
  * A new instance joins while its group is without a primary: the morning's primary has gone silent, and the list that the
@@ -136,7 +136,7 @@
         private final Ledger ledger = new Ledger(500 * MS);
         private final StringBuilder changes = new StringBuilder();
         private final GroupModel model;
-        private final World world;
+        private final TestCluster world;
         private final long joinsAfterMs;
         private final long backAfterMs;
         private final List<GatewayUnderTest> gateways = new ArrayList<>();
@@ -155,7 +155,7 @@
                     5000 * MS, 4);
             model = new GroupModel(plan, chance.split(), IDS, Clock.now(),
                     (now, what) -> changes.append(now / 10 % 100_000).append(' ').append(what).append("; "));
-            world = new World(vertx, model, ledger, IDS, 1500);
+            world = new TestCluster(vertx, model, ledger, IDS, 1500);
         }
 
         private Future<Outcome> play() {
--- a/tools/src/main/java/ploverdale/tools/stand/World.java
+++ b/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
@@ -32,7 +32,7 @@
  * and says nothing, a refusing one closes. Discovery answers whole lists and watches, late by a stated time, and names the
  * primary of the morning for ever. All on one event loop.
  */
-public final class World {
+public final class TestCluster {
     private static final Pattern ID = Pattern.compile("/\\* id=([^,]+),");
     private static final Pattern KEY = Pattern.compile("'([^']*)'");
     private static final int OID_BYTES = 17;
@@ -61,7 +61,7 @@
 
     private record Waiting(HttpServerResponse to, String gateway) {}
 
-    public World(Vertx vertx, GroupModel model, Ledger ledger, List<String> ids, long listLateMs) {
+    public TestCluster(Vertx vertx, GroupModel model, Ledger ledger, List<String> ids, long listLateMs) {
         this.vertx = vertx;
         this.model = model;
         this.ledger = ledger;
--- a/tools/src/test/java/ploverdale/tools/lab/ReplicaModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/ReplicaModelTest.java
@@ -11,7 +11,7 @@
 import ploverdale.replica.Replicas;
 import ploverdale.replica.Replicas.End;
 import ploverdale.tools.lab.ReplicaTrial.CaughtUp;
-import ploverdale.tools.lab.ReplicaModel.World;
+import ploverdale.tools.lab.ReplicaModel.TestCluster;
 
 /** Replicated state in simulated time, through faults by chance; what clients were promised is held from outside. */
 class ReplicaModelTest {
@@ -19,7 +19,7 @@
     private static final long SECOND = 1000 * MS;
 
     private static ReplicaModel model(int gateways, int copies, double loss, long seed) {
-        return new ReplicaModel(new World(gateways, ReplicaTrial.keeping(copies), 0.05, loss, 0.05, 10 * MS, 200_000), seed);
+        return new ReplicaModel(new TestCluster(gateways, ReplicaTrial.keeping(copies), 0.05, loss, 0.05, 10 * MS, 200_000), seed);
     }
 
     @Test
