--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -28,7 +28,7 @@
 import ploverdale.tools.stand.Clients;
 import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.Roamers;
-import ploverdale.tools.stand.Told;
+import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -86,7 +86,7 @@
      */
     public record Crowd(int connections, int descriptors) {
         /** As few as serve, and descriptors enough. */
-        public static final Crowd NONE = new Crowd(0, Told.DESCRIPTORS);
+        public static final Crowd NONE = new Crowd(0, GatewayConfiguration.DESCRIPTORS);
     }
 
     /**
@@ -258,7 +258,7 @@
         for (int i = 0; i < day.gateways(); i++) {
             peers.add(link.address(i, me));
         }
-        Told told = new Told(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
+        GatewayConfiguration told = new GatewayConfiguration(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
                 world.list(Integer.toString(me), true), chance.nextLong(), BOUND_MS, shape.crowd().descriptors());
         GatewayProcess g = gateways.get(me);
         long from = System.nanoTime();
--- a/tools/src/main/java/ploverdale/tools/rig/GatewayUnderTest.java
+++ b/tools/src/main/java/ploverdale/tools/rig/GatewayUnderTest.java
@@ -10,7 +10,7 @@
 import ploverdale.log.Log;
 import ploverdale.net.Gateway;
 import ploverdale.net.GatewayFile;
-import ploverdale.tools.stand.Told;
+import ploverdale.tools.stand.GatewayConfiguration;
 
 /** One real gateway in this process, on an event loop of its own. */
 final class GatewayUnderTest {
@@ -19,7 +19,7 @@
     private int port;
     private long readyAfterMs;
 
-    GatewayUnderTest(Told told) throws IOException {
+    GatewayUnderTest(GatewayConfiguration told) throws IOException {
         Path p = Files.createTempFile("gateway", ".json");
         Files.writeString(p, told.json());
         file = GatewayFile.read(p);
--- a/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
+++ b/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
@@ -23,7 +23,7 @@
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
 import ploverdale.tools.stand.LossyLink;
-import ploverdale.tools.stand.Told;
+import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -191,7 +191,7 @@
             return world.discovery(Integer.toString(me)).compose(discovery -> {
                 GatewayUnderTest g;
                 try {
-                    g = new GatewayUnderTest(new Told(me, "127.0.0.1:0", List.of(link.address(0, me), link.address(1, me)), words != Words.OFF,
+                    g = new GatewayUnderTest(new GatewayConfiguration(me, "127.0.0.1:0", List.of(link.address(0, me), link.address(1, me)), words != Words.OFF,
                             discovery, world.list(true), chance.nextLong(), BOUND_MS));
                 } catch (IOException e) {
                     return Future.failedFuture(e);
--- a/tools/src/main/java/ploverdale/tools/stand/Told.java
+++ b/tools/src/main/java/ploverdale/tools/stand/GatewayConfiguration.java
@@ -13,13 +13,13 @@
  * @param boundMs of reads
  * @param descriptors that it may hold
  */
-public record Told(int me, String listen, List<String> peers, boolean words, int discoveryPort, String known, long seed,
+public record GatewayConfiguration(int me, String listen, List<String> peers, boolean words, int discoveryPort, String known, long seed,
         long boundMs, int descriptors) {
     /** Enough for any day that is not about them. */
     public static final int DESCRIPTORS = 512;
 
     /** The same with descriptors enough. */
-    public Told(int me, String listen, List<String> peers, boolean words, int discoveryPort, String known, long seed, long boundMs) {
+    public GatewayConfiguration(int me, String listen, List<String> peers, boolean words, int discoveryPort, String known, long seed, long boundMs) {
         this(me, listen, peers, words, discoveryPort, known, seed, boundMs, DESCRIPTORS);
     }
 
--- a/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
@@ -62,7 +62,7 @@
         try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        g.start(new ploverdale.tools.stand.Told(0, "127.0.0.1:" + port, List.of("127.0.0.1:1"), false, port, "{\"revision\":1,\"complete\":true,"
+        g.start(new ploverdale.tools.stand.GatewayConfiguration(0, "127.0.0.1:" + port, List.of("127.0.0.1:1"), false, port, "{\"revision\":1,\"complete\":true,"
                 + "\"members\":[]}", 7, 500).json()).get(60, java.util.concurrent.TimeUnit.SECONDS);
         try {
             assertThat(ProcessHandle.of(g.pid()).orElseThrow().children()).isEmpty();
