--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -27,7 +27,7 @@
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
 import ploverdale.tools.stand.LossyLink;
-import ploverdale.tools.stand.Roamers;
+import ploverdale.tools.stand.RoamingClients;
 import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.TestCluster;
 
@@ -56,10 +56,10 @@
      * @param roams how clients with sessions ask beside those, or null
      * @param crowd of client connections at each gateway
      */
-    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, Roamers.Habit roams,
+    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams,
             Crowd crowd) {
         /** The same with as few connections as serve. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, Roamers.Habit roams) {
+        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams) {
             this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
         }
 
@@ -95,7 +95,7 @@
      * @param late by how much answers came after their time, 0 for those in time, in microseconds
      */
     public record Shown(Day day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
-            int writesAcked, List<Long> startsMs, List<String> log, Roamers roamers, Histogram late) {
+            int writesAcked, List<Long> startsMs, List<String> log, RoamingClients roamers, Histogram late) {
         /** A line of figures. */
         public String figures() {
             return String.format(Locale.ROOT, "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms", ops, readsAcked,
@@ -119,7 +119,7 @@
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private final long began = System.nanoTime();
     private LossyLink link;
-    private Roamers roamers;
+    private RoamingClients roamers;
 
     private Fleet(Vertx vertx, Day day, Shape shape) {
         this.vertx = vertx;
@@ -182,7 +182,7 @@
                 for (int i = 0; i < day.gateways(); i++) {
                     ports.add(ways.get("n" + i + " clients").port());
                 }
-                roamers = new Roamers(vertx, ledger, chance.split(), ports, shape.roams());
+                roamers = new RoamingClients(vertx, ledger, chance.split(), ports, shape.roams());
                 roamers.start();
             }
             for (Step s : day.steps()) {
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -21,7 +21,7 @@
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.stand.Roamers;
+import ploverdale.tools.stand.RoamingClients;
 
 /**
  * Sessions and submits kept by gateways as processes, with clients that roam and submit again, through drawn days of faults and
@@ -33,7 +33,7 @@
     private static final long LASTS_MS = 9000;
     private static final long SETTLES_MS = 4500; // submits are vouched for a window after the start
     private static final double OPS_PER_SECOND = 5; // of each gateway, of clients that do not roam
-    static final Roamers.Habit HABIT = new Roamers.Habit(1000, 220, true);
+    static final RoamingClients.Habit HABIT = new RoamingClients.Habit(1000, 220, true);
     private static final String KEPT = "{\"sessions\":{\"keep_ms\":20000},\"submits\":{\"window_ms\":4000,\"retries_marked\":true},"
             + "\"ask_ms\":60,\"wait_ms\":150,\"bytes_per_second\":400000";
 
@@ -59,7 +59,7 @@
         return new Day(seed, gateways, LASTS_MS, steps);
     }
 
-    private static Shape shape(Launch launch, Day day, Roamers.Habit habit) {
+    private static Shape shape(Launch launch, Day day, RoamingClients.Habit habit) {
         return new Shape(launch, Collections.nCopies(day.gateways(), OPS_PER_SECOND), SETTLES_MS, (op, server, now, comes) -> { }, habit);
     }
 
@@ -120,7 +120,7 @@
         boolean holds = true;
         try {
             for (Launch l : List.of(without, sendsOn, waits)) {
-                Shown s = Fleet.play(calm, shape(l, calm, new Roamers.Habit(1000, 220, false)));
+                Shown s = Fleet.play(calm, shape(l, calm, new RoamingClients.Habit(1000, 220, false)));
                 b.append(l == without ? "without" : l == sendsOn ? "; kept" : "; acks wait").append(": writes ")
                         .append(times(s.roamers().writes())).append(", reads ").append(times(s.roamers().reads()));
                 holds &= l == without || s.broken().isEmpty();
--- a/tools/src/main/java/ploverdale/tools/stand/Roamers.java
+++ b/tools/src/main/java/ploverdale/tools/stand/RoamingClients.java
@@ -18,7 +18,7 @@
  * Clients with sessions that roam: each op of a session goes to any gateway, a read of it must reach its last acked write, and
  * a write without an ack may be submitted again under its id, elsewhere. One op of a session at a time, a connection each.
  */
-public final class Roamers {
+public final class RoamingClients {
     /**
      * How they ask.
      *
@@ -49,7 +49,7 @@
     private boolean stopped;
 
     /** @param ports of the gateways, by number */
-    public Roamers(Vertx vertx, Ledger ledger, RandomGenerator chance, List<Integer> ports, Habit habit) {
+    public RoamingClients(Vertx vertx, Ledger ledger, RandomGenerator chance, List<Integer> ports, Habit habit) {
         this.vertx = vertx;
         this.ledger = ledger;
         this.chance = chance;
--- a/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
@@ -16,12 +16,12 @@
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.ledger.Ledger.Rule;
-import ploverdale.tools.stand.Roamers;
+import ploverdale.tools.stand.RoamingClients;
 
 /** What processes keep together: few sessions, whose ops follow one another closely, at any gateway. */
 @Timeout(120)
 class ReplicasRigTest {
-    private static final Roamers.Habit CLOSE = new Roamers.Habit(12, 400, true);
+    private static final RoamingClients.Habit CLOSE = new RoamingClients.Habit(12, 400, true);
 
     private static Path file;
 
