--- a/tools/src/main/java/ploverdale/tools/fleet/Drawn.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Drawn.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
-import ploverdale.tools.fleet.Day.Step;
-import ploverdale.tools.fleet.Day.What;
+import ploverdale.tools.fleet.FaultSchedule.Step;
+import ploverdale.tools.fleet.FaultSchedule.What;
 
 /** Draws days by seed: some faults, each over some time, each made good before the day ends. */
 public final class Drawn {
@@ -16,7 +16,7 @@
     private Drawn() {}
 
     /** A day of that seed. */
-    public static Day day(long seed, int gateways, long lastsMs, List<String> servers) {
+    public static FaultSchedule day(long seed, int gateways, long lastsMs, List<String> servers) {
         RandomGenerator chance = new SplittableRandom(seed);
         List<Step> steps = new ArrayList<>();
         int faults = 1 + chance.nextInt(FAULTS_MOST);
@@ -25,7 +25,7 @@
             long to = from + 300 + chance.nextLong(lastsMs - LAST_MS - from - 299);
             steps.addAll(fault(chance, from, to, gateways, servers));
         }
-        return new Day(seed, gateways, lastsMs, consistent(steps));
+        return new FaultSchedule(seed, gateways, lastsMs, consistent(steps));
     }
 
     private static List<Step> fault(RandomGenerator chance, long from, long to, int gateways, List<String> servers) {
@@ -53,7 +53,7 @@
         List<Step> kept = new ArrayList<>();
         java.util.Map<String, What> was = new java.util.HashMap<>();
         java.util.Set<String> down = new java.util.HashSet<>();
-        for (Step s : new Day(0, 0, 0, steps).steps()) {
+        for (Step s : new FaultSchedule(0, 0, 0, steps).steps()) {
             String who = s.words().get(0);
             boolean ok = switch (s.what()) {
                 case KILL, LEAVE, STOP -> !was.containsKey(who);
--- a/tools/src/main/java/ploverdale/tools/fleet/Day.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
@@ -12,7 +12,7 @@
  * @param seed of all chance on that day
  * @param lastsMs until the clients ask no more
  */
-public record Day(long seed, int gateways, long lastsMs, List<Step> steps) {
+public record FaultSchedule(long seed, int gateways, long lastsMs, List<Step> steps) {
     /** What may happen; in brackets what follows the word. */
     public enum What {
         /** SIGKILL (gateway). */
@@ -57,13 +57,13 @@
         }
     }
 
-    public Day {
+    public FaultSchedule {
         steps = steps.stream().sorted(Comparator.comparingLong(Step::atMs)).toList();
     }
 
     /** The day with these steps in place of its own. */
-    public Day with(List<Step> others) {
-        return new Day(seed, gateways, lastsMs, others);
+    public FaultSchedule with(List<Step> others) {
+        return new FaultSchedule(seed, gateways, lastsMs, others);
     }
 
     /** As it is written down. */
@@ -73,7 +73,7 @@
     }
 
     /** Reads what {@link #text} wrote; a mistake is named with its line. */
-    public static Day read(String text) {
+    public static FaultSchedule read(String text) {
         List<String> lines = text.lines().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
         if (lines.isEmpty() || !lines.get(0).startsWith("day ")) {
             throw new IllegalArgumentException("a day begins with: day seed=N gateways=N lasts=MS");
@@ -89,7 +89,7 @@
                 throw new IllegalArgumentException("not a step: " + l + " (" + e.getMessage() + ")");
             }
         }
-        return new Day(seed, (int) number(lines.get(0), "gateways"), number(lines.get(0), "lasts"), steps);
+        return new FaultSchedule(seed, (int) number(lines.get(0), "gateways"), number(lines.get(0), "lasts"), steps);
     }
 
     private static long number(String line, String field) {
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -19,7 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import ploverdale.net.LogicLoop.Clock;
-import ploverdale.tools.fleet.Day.Step;
+import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.model.GroupModel;
@@ -94,7 +94,7 @@
      *
      * @param late by how much answers came after their time, 0 for those in time, in microseconds
      */
-    public record Shown(Day day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
+    public record Shown(FaultSchedule day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
             int writesAcked, List<Long> startsMs, List<String> log, RoamingClients roamers, Histogram late) {
         /** A line of figures. */
         public String figures() {
@@ -104,7 +104,7 @@
     }
 
     private final Vertx vertx;
-    private final Day day;
+    private final FaultSchedule day;
     private final Shape shape;
     private final SplittableRandom chance;
     private final Ledger ledger = new Ledger(DRAIN_GRACE_MS * MS);
@@ -121,7 +121,7 @@
     private LossyLink link;
     private RoamingClients roamers;
 
-    private Fleet(Vertx vertx, Day day, Shape shape) {
+    private Fleet(Vertx vertx, FaultSchedule day, Shape shape) {
         this.vertx = vertx;
         this.day = day;
         this.shape = shape;
@@ -135,7 +135,7 @@
     }
 
     /** Plays a day; waits for its end. */
-    public static Shown play(Day day, Shape shape) throws Exception {
+    public static Shown play(FaultSchedule day, Shape shape) throws Exception {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1));
         List<GatewayProcess> started = Collections.synchronizedList(new ArrayList<>());
--- a/tools/src/main/java/ploverdale/tools/fleet/Shorter.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Shorter.java
@@ -3,23 +3,23 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
-import ploverdale.tools.fleet.Day.Step;
+import ploverdale.tools.fleet.FaultSchedule.Step;
 
 /**
  * Makes a day that fails shorter for as long as it still does: leaves out ever smaller parts of its steps. Tries so many
  * days at most, since each takes its time.
  */
 public final class Shorter {
-    private final Predicate<Day> fails;
+    private final Predicate<FaultSchedule> fails;
     private int triesLeft;
 
-    public Shorter(Predicate<Day> fails, int triesMost) {
+    public Shorter(Predicate<FaultSchedule> fails, int triesMost) {
         this.fails = fails;
         triesLeft = triesMost;
     }
 
     /** The shortest that was found to fail; the day itself where none was. */
-    public Day of(Day day) {
+    public FaultSchedule of(FaultSchedule day) {
         List<Step> steps = day.steps();
         for (int part = Math.max(1, steps.size() / 2); part >= 1 && !steps.isEmpty(); ) {
             List<Step> shorter = without(day, steps, part);
@@ -35,7 +35,7 @@
         return day.with(steps);
     }
 
-    private List<Step> without(Day day, List<Step> steps, int part) {
+    private List<Step> without(FaultSchedule day, List<Step> steps, int part) {
         for (int from = 0; from < steps.size() && triesLeft > 0; from += part) {
             List<Step> rest = new ArrayList<>(steps.subList(0, from));
             rest.addAll(steps.subList(Math.min(steps.size(), from + part), steps.size()));
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import ploverdale.tools.fleet.Day;
+import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Drawn;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
@@ -38,7 +38,7 @@
         ExecutorService pool = Executors.newFixedThreadPool(atATime);
         List<Future<List<Check>>> runs = new ArrayList<>();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            Day day = Drawn.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
+            FaultSchedule day = Drawn.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
             runs.add(pool.submit(() -> List.of(check(day, Shape.even(launch, GATEWAYS, OPS_PER_SECOND)))));
         }
         List<Check> checks = new ArrayList<>();
@@ -54,20 +54,20 @@
     }
 
     /** One day, and the shortest of its like that fails, too, if it does. */
-    static Check check(Day day, Shape shape) throws Exception {
+    static Check check(FaultSchedule day, Shape shape) throws Exception {
         Shown shown = Fleet.play(day, shape);
         String name = "seed " + day.seed() + ", " + day.steps().size() + " steps: no rule broken";
         if (shown.broken().isEmpty()) {
             return new Check(name, shown.figures(), true);
         }
-        Day shortest = new Shorter(d -> breaks(d, shape), TRIES).of(day);
+        FaultSchedule shortest = new Shorter(d -> breaks(d, shape), TRIES).of(day);
         List<String> log = shown.log();
         return new Check(name, shown.figures() + ", broken " + shown.broken().size() + ", first " + shown.broken().get(0)
                 + "\n" + shortest.text() + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
                 false);
     }
 
-    private static boolean breaks(Day day, Shape shape) {
+    private static boolean breaks(FaultSchedule day, Shape shape) {
         try {
             return !Fleet.play(day, shape).broken().isEmpty();
         } catch (Exception e) {
--- a/tools/src/main/java/ploverdale/tools/rig/Pauses.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -11,9 +11,9 @@
 import java.util.concurrent.Future;
 import java.util.random.RandomGenerator;
 import org.HdrHistogram.Histogram;
-import ploverdale.tools.fleet.Day;
-import ploverdale.tools.fleet.Day.Step;
-import ploverdale.tools.fleet.Day.What;
+import ploverdale.tools.fleet.FaultSchedule;
+import ploverdale.tools.fleet.FaultSchedule.Step;
+import ploverdale.tools.fleet.FaultSchedule.What;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Crowd;
 import ploverdale.tools.fleet.Fleet.Shape;
@@ -49,7 +49,7 @@
         ExecutorService pool = Executors.newFixedThreadPool(atATime);
         List<Future<Check>> runs = new ArrayList<>();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            Day day = day(seed);
+            FaultSchedule day = day(seed);
             runs.add(pool.submit(() -> check(Fleet.play(day, shape(launch)))));
         }
         List<Check> checks = new ArrayList<>();
@@ -69,7 +69,7 @@
     }
 
     /** A day of that seed, on which each gateway is paused in turn. */
-    static Day day(long seed) {
+    static FaultSchedule day(long seed) {
         RandomGenerator chance = new SplittableRandom(seed);
         List<Step> steps = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
@@ -81,7 +81,7 @@
                 at = until + chance.nextLong(BETWEEN_LEAST_MS, BETWEEN_MOST_MS);
             }
         }
-        return new Day(seed, GATEWAYS, LASTS_MS, steps);
+        return new FaultSchedule(seed, GATEWAYS, LASTS_MS, steps);
     }
 
     private static Check check(Shown s) {
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.HdrHistogram.Histogram;
-import ploverdale.tools.fleet.Day;
-import ploverdale.tools.fleet.Day.Step;
-import ploverdale.tools.fleet.Day.What;
+import ploverdale.tools.fleet.FaultSchedule;
+import ploverdale.tools.fleet.FaultSchedule.Step;
+import ploverdale.tools.fleet.FaultSchedule.What;
 import ploverdale.tools.fleet.Drawn;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
@@ -44,9 +44,9 @@
     }
 
     /** A drawn day on which some datagrams between any two are lost, up to half of them. */
-    private static Day day(long seed) {
+    private static FaultSchedule day(long seed) {
         int gateways = SIZES[(int) (seed % SIZES.length)];
-        Day drawn = Drawn.day(seed, gateways, LASTS_MS, Fleet.SERVERS);
+        FaultSchedule drawn = Drawn.day(seed, gateways, LASTS_MS, Fleet.SERVERS);
         double loss = new SplittableRandom(~seed).nextInt(3) * 0.25;
         List<Step> steps = new ArrayList<>(drawn.steps());
         for (int i = 0; i < gateways && loss > 0; i++) {
@@ -56,10 +56,10 @@
                 }
             }
         }
-        return new Day(seed, gateways, LASTS_MS, steps);
+        return new FaultSchedule(seed, gateways, LASTS_MS, steps);
     }
 
-    private static Shape shape(Launch launch, Day day, RoamingClients.Habit habit) {
+    private static Shape shape(Launch launch, FaultSchedule day, RoamingClients.Habit habit) {
         return new Shape(launch, Collections.nCopies(day.gateways(), OPS_PER_SECOND), SETTLES_MS, (op, server, now, comes) -> { }, habit);
     }
 
@@ -73,7 +73,7 @@
             ExecutorService pool = Executors.newFixedThreadPool(atATime);
             List<Future<Shown[]>> runs = new ArrayList<>();
             for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-                Day day = day(seed);
+                FaultSchedule day = day(seed);
                 runs.add(pool.submit(() -> new Shown[] {Fleet.play(day, shape(with, day, HABIT)),
                     Fleet.play(day, shape(without, day, HABIT))}));
             }
@@ -115,7 +115,7 @@
 
     /** What the wait for copies and the asking of keepers add, on a day without faults. */
     private static Check costs(Launch waits, Launch sendsOn, Launch without) {
-        Day calm = new Day(77, 3, LASTS_MS, List.of());
+        FaultSchedule calm = new FaultSchedule(77, 3, LASTS_MS, List.of());
         StringBuilder b = new StringBuilder();
         boolean holds = true;
         try {
--- a/tools/src/test/java/ploverdale/tools/fleet/DayTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FaultScheduleTest.java
@@ -6,19 +6,19 @@
 import java.util.List;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
-import ploverdale.tools.fleet.Day.Step;
-import ploverdale.tools.fleet.Day.What;
+import ploverdale.tools.fleet.FaultSchedule.Step;
+import ploverdale.tools.fleet.FaultSchedule.What;
 
 /** Scripts of days: written, read, drawn and made shorter. */
-class DayTest {
+class FaultScheduleTest {
     @Test
     void aDayIsReadAsItWasWrittenAndMistakesAreNamed() {
         for (long seed = 0; seed < 200; seed++) {
-            Day day = Drawn.day(seed, 4, 6000, Fleet.SERVERS);
-            assertThat(Day.read(day.text())).isEqualTo(day);
+            FaultSchedule day = Drawn.day(seed, 4, 6000, Fleet.SERVERS);
+            assertThat(FaultSchedule.read(day.text())).isEqualTo(day);
         }
-        assertThatThrownBy(() -> Day.read("day seed=1 gateways=2 lasts=100\n5 kill")).hasMessageContaining("5 kill");
-        assertThatThrownBy(() -> Day.read("day seed=1 lasts=100")).hasMessageContaining("gateways");
+        assertThatThrownBy(() -> FaultSchedule.read("day seed=1 gateways=2 lasts=100\n5 kill")).hasMessageContaining("5 kill");
+        assertThatThrownBy(() -> FaultSchedule.read("day seed=1 lasts=100")).hasMessageContaining("gateways");
     }
 
     @Test
@@ -41,13 +41,13 @@
 
     @Test
     void aDayThatFailsIsMadeAsShortAsItStillFails() {
-        Predicate<Day> fails = d -> d.steps().stream().anyMatch(s -> s.what() == What.KILL && s.words().contains("n2"))
+        Predicate<FaultSchedule> fails = d -> d.steps().stream().anyMatch(s -> s.what() == What.KILL && s.words().contains("n2"))
                 && d.steps().stream().anyMatch(s -> s.what() == What.SERVER);
         List<Step> steps = List.of(Step.of(1, What.WORDS, "n0", "n1", "loss:1"), Step.of(2, What.KILL, "n2"),
                 Step.of(3, What.WAY, "n1", "discovery", "SILENT"), Step.of(4, What.SERVER, "s-second", "SILENT"),
                 Step.of(5, What.START, "n2"), Step.of(6, What.WAY, "n1", "discovery", "OPEN"));
-        Day shortest = new Shorter(fails, 100).of(new Day(1, 3, 100, steps));
+        FaultSchedule shortest = new Shorter(fails, 100).of(new FaultSchedule(1, 3, 100, steps));
         assertThat(shortest.steps()).containsExactly(steps.get(1), steps.get(3));
-        assertThat(new Shorter(fails, 0).of(new Day(1, 3, 100, steps)).steps()).as("without tries").isEqualTo(steps);
+        assertThat(new Shorter(fails, 0).of(new FaultSchedule(1, 3, 100, steps)).steps()).as("without tries").isEqualTo(steps);
     }
 }
--- a/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
@@ -16,7 +16,7 @@
 @Timeout(180)
 class FleetTest {
     private static Shown play(String day) throws Exception {
-        Day d = Day.read(day);
+        FaultSchedule d = FaultSchedule.read(day);
         return Fleet.play(d, Shape.even(Launch.found(List.of()), d.gateways(), 40));
     }
 
--- a/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
@@ -10,7 +10,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import ploverdale.tools.fleet.Day;
+import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
@@ -38,7 +38,7 @@
     }
 
     private static Shown play(BudgetsRig.Out out, String day, Launch launch) throws Exception {
-        return Fleet.play(Day.read(day), new Shape(launch, List.of(250.0, 20.0, 20.0, 20.0), 5500, out));
+        return Fleet.play(FaultSchedule.read(day), new Shape(launch, List.of(250.0, 20.0, 20.0, 20.0), 5500, out));
     }
 
     /** All ways of words between these and the others, both directions. */
@@ -131,7 +131,7 @@
         Path file = file(WHOLE);
         Launch sound = Launch.found(List.of("--fleet", file.toString()));
         List<Double> all = List.of(250.0, 250.0, 250.0, 250.0);
-        Day day = Day.read(othersWantTheirPartsBack());
+        FaultSchedule day = FaultSchedule.read(othersWantTheirPartsBack());
         try (WithoutGuard none = WithoutGuard.of(sound, "budgets/Leasing.java",
                 "(long) Math.ceil(lease * (1 + clocksApart) / (1 - clocksApart)) + 1", "lease / 20")) {
             BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
--- a/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import ploverdale.tools.fleet.Day;
+import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
@@ -15,7 +15,7 @@
 class PausesTest {
     @Test
     void whatIsAcceptedDuringAPauseIsAnswered() throws Exception {
-        Day day = Pauses.day(1);
+        FaultSchedule day = Pauses.day(1);
         Shown s = Fleet.play(day, Pauses.shape(Launch.found(List.of())));
         // A pause may fall into the some 20 microseconds between the last look at a connection and the end of its output:
         // one op in some 25 such days is lost so, between two and seventeen a day where nothing is read before the end.
--- a/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import ploverdale.tools.fleet.Day;
+import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
@@ -36,7 +36,7 @@
     }
 
     private static Shown play(String day, List<String> more) throws Exception {
-        Day d = Day.read(day);
+        FaultSchedule d = FaultSchedule.read(day);
         return Fleet.play(d, new Shape(Launch.found(more), Collections.nCopies(d.gateways(), 5.0), 4500,
                 (op, server, now, comes) -> { }, CLOSE));
     }
