--- a/tools/src/main/java/ploverdale/tools/fleet/Drawn.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/ScheduleGenerator.java
@@ -8,12 +8,12 @@
 import ploverdale.tools.fleet.FaultSchedule.What;
 
 /** Draws days by seed: some faults, each over some time, each made good before the day ends. */
-public final class Drawn {
+public final class ScheduleGenerator {
     private static final long CALM_MS = 500; // before the first fault
     private static final long LAST_MS = 1500; // after the last one is made good
     private static final int FAULTS_MOST = 4;
 
-    private Drawn() {}
+    private ScheduleGenerator() {}
 
     /** A day of that seed. */
     public static FaultSchedule day(long seed, int gateways, long lastsMs, List<String> servers) {
--- a/tools/src/main/java/ploverdale/tools/fleet/Shorter.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Shorter.java
@@ -39,7 +39,7 @@
         for (int from = 0; from < steps.size() && triesLeft > 0; from += part) {
             List<Step> rest = new ArrayList<>(steps.subList(0, from));
             rest.addAll(steps.subList(Math.min(steps.size(), from + part), steps.size()));
-            List<Step> kept = Drawn.consistent(rest);
+            List<Step> kept = ScheduleGenerator.consistent(rest);
             triesLeft--;
             if (fails.test(day.with(kept))) {
                 return kept;
--- a/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
-import ploverdale.tools.fleet.Drawn;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
@@ -79,7 +79,7 @@
         List<Future<Check>> runs = new ArrayList<>();
         int[] sums = new int[8];
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            FaultSchedule day = Drawn.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
+            FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
             runs.add(pool.submit(() -> {
                 Out out = new Out(WHOLE);
                 Shown shown = Fleet.play(day, shape(with, out));
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
-import ploverdale.tools.fleet.Drawn;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
@@ -38,7 +38,7 @@
         ExecutorService pool = Executors.newFixedThreadPool(atATime);
         List<Future<List<Check>>> runs = new ArrayList<>();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            FaultSchedule day = Drawn.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
+            FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
             runs.add(pool.submit(() -> List.of(check(day, Shape.even(launch, GATEWAYS, OPS_PER_SECOND)))));
         }
         List<Check> checks = new ArrayList<>();
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -16,7 +16,7 @@
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.FaultSchedule.What;
-import ploverdale.tools.fleet.Drawn;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
@@ -46,7 +46,7 @@
     /** A drawn day on which some datagrams between any two are lost, up to half of them. */
     private static FaultSchedule day(long seed) {
         int gateways = SIZES[(int) (seed % SIZES.length)];
-        FaultSchedule drawn = Drawn.day(seed, gateways, LASTS_MS, Fleet.SERVERS);
+        FaultSchedule drawn = ScheduleGenerator.day(seed, gateways, LASTS_MS, Fleet.SERVERS);
         double loss = new SplittableRandom(~seed).nextInt(3) * 0.25;
         List<Step> steps = new ArrayList<>(drawn.steps());
         for (int i = 0; i < gateways && loss > 0; i++) {
--- a/tools/src/test/java/ploverdale/tools/fleet/FaultScheduleTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FaultScheduleTest.java
@@ -14,7 +14,7 @@
     @Test
     void aDayIsReadAsItWasWrittenAndMistakesAreNamed() {
         for (long seed = 0; seed < 200; seed++) {
-            FaultSchedule day = Drawn.day(seed, 4, 6000, Fleet.SERVERS);
+            FaultSchedule day = ScheduleGenerator.day(seed, 4, 6000, Fleet.SERVERS);
             assertThat(FaultSchedule.read(day.text())).isEqualTo(day);
         }
         assertThatThrownBy(() -> FaultSchedule.read("day seed=1 gateways=2 lasts=100\n5 kill")).hasMessageContaining("5 kill");
@@ -27,7 +27,7 @@
             for (int g = 0; g < 4; g++) {
                 String name = "n" + g;
                 What was = null;
-                for (Step s : Drawn.day(seed, 4, 6000, Fleet.SERVERS).steps()) {
+                for (Step s : ScheduleGenerator.day(seed, 4, 6000, Fleet.SERVERS).steps()) {
                     if (s.words().get(0).equals(name) && s.what().ordinal() <= What.LEAVE.ordinal()) {
                         boolean back = s.what() == What.START || s.what() == What.GO_ON;
                         assertThat(back).as("seed %d, %s after %s", seed, s, was).isEqualTo(was != null);
