--- a/tools/src/main/java/ploverdale/tools/fleet/Shorter.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/ScheduleShrinker.java
@@ -9,11 +9,11 @@
  * Makes a day that fails shorter for as long as it still does: leaves out ever smaller parts of its steps. Tries so many
  * days at most, since each takes its time.
  */
-public final class Shorter {
+public final class ScheduleShrinker {
     private final Predicate<FaultSchedule> fails;
     private int triesLeft;
 
-    public Shorter(Predicate<FaultSchedule> fails, int triesMost) {
+    public ScheduleShrinker(Predicate<FaultSchedule> fails, int triesMost) {
         this.fails = fails;
         triesLeft = triesMost;
     }
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -13,7 +13,7 @@
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.fleet.Shorter;
+import ploverdale.tools.fleet.ScheduleShrinker;
 
 /**
  * Gateways as processes through drawn days of kills, stops, restarts, cut and slow ways and a silent server. A day on which
@@ -60,7 +60,7 @@
         if (shown.broken().isEmpty()) {
             return new Check(name, shown.figures(), true);
         }
-        FaultSchedule shortest = new Shorter(d -> breaks(d, shape), TRIES).of(day);
+        FaultSchedule shortest = new ScheduleShrinker(d -> breaks(d, shape), TRIES).of(day);
         List<String> log = shown.log();
         return new Check(name, shown.figures() + ", broken " + shown.broken().size() + ", first " + shown.broken().get(0)
                 + "\n" + shortest.text() + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
--- a/tools/src/test/java/ploverdale/tools/fleet/FaultScheduleTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FaultScheduleTest.java
@@ -46,8 +46,8 @@
         List<Step> steps = List.of(Step.of(1, What.WORDS, "n0", "n1", "loss:1"), Step.of(2, What.KILL, "n2"),
                 Step.of(3, What.WAY, "n1", "discovery", "SILENT"), Step.of(4, What.SERVER, "s-second", "SILENT"),
                 Step.of(5, What.START, "n2"), Step.of(6, What.WAY, "n1", "discovery", "OPEN"));
-        FaultSchedule shortest = new Shorter(fails, 100).of(new FaultSchedule(1, 3, 100, steps));
+        FaultSchedule shortest = new ScheduleShrinker(fails, 100).of(new FaultSchedule(1, 3, 100, steps));
         assertThat(shortest.steps()).containsExactly(steps.get(1), steps.get(3));
-        assertThat(new Shorter(fails, 0).of(new FaultSchedule(1, 3, 100, steps)).steps()).as("without tries").isEqualTo(steps);
+        assertThat(new ScheduleShrinker(fails, 0).of(new FaultSchedule(1, 3, 100, steps)).steps()).as("without tries").isEqualTo(steps);
     }
 }
