--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -37,7 +37,7 @@
      * @param jar of the gateway
      * @param more arguments of serve
      * @param others the same for single gateways by name, in place of those
-     * @param before classes that stand before those of the jar, or null; see {@link WithoutGuard}
+     * @param before classes that stand before those of the jar, or null; see {@link MutationCheck}
      */
     public record Launch(Path root, Path jar, List<String> more, Map<String, List<String>> others, Path before) {
         /** Finds the root above the working directory, and the jar that the build leaves there. */
--- a/tools/src/main/java/ploverdale/tools/fleet/WithoutGuard.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/MutationCheck.java
@@ -14,17 +14,17 @@
  * A gateway with one of its guards taken out, to show that a rig sees what the guard is for: one source file is compiled
  * with one piece of its text replaced, and its classes stand before those of the jar. Nothing in the gateway knows of this.
  */
-public final class WithoutGuard implements AutoCloseable {
+public final class MutationCheck implements AutoCloseable {
     private static final String SOURCES = "gateway/src/main/java/ploverdale";
 
     private final Path classes;
 
-    private WithoutGuard(Path classes) {
+    private MutationCheck(Path classes) {
         this.classes = classes;
     }
 
     /** The text must stand in the file exactly once, so that a guard that moved is noticed. */
-    public static WithoutGuard of(Launch launch, String file, String guard, String instead) throws IOException {
+    public static MutationCheck of(Launch launch, String file, String guard, String instead) throws IOException {
         String text = Files.readString(launch.root().resolve(SOURCES).resolve(file));
         int at = text.indexOf(guard);
         if (at < 0 || text.indexOf(guard, at + 1) >= 0) {
@@ -43,7 +43,7 @@
         } finally {
             delete(sources);
         }
-        return new WithoutGuard(classes);
+        return new MutationCheck(classes);
     }
 
     /** The classes without it, to stand before the others. */
--- a/tools/src/test/java/ploverdale/tools/lab/ReplicaGuardsTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/ReplicaGuardsTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.fleet.WithoutGuard;
+import ploverdale.tools.fleet.MutationCheck;
 
 /** With each guard of what is kept taken out in turn, the days of faults break promises: the search can fail. */
 class ReplicaGuardsTest {
@@ -20,7 +20,7 @@
         "Replicas.java -> !mayKnowAll || !free -> !free",
         "Replicas.java -> f.isFreeBut(claim) && f.hasRoom(claim) -> (f.claims().containsKey(claim) || f.free())"})
     void withoutOnePromisesBreak(String file, String guard, String instead) throws Exception {
-        try (WithoutGuard none = WithoutGuard.of(Launch.found(List.of()), "replica/" + file, guard, instead)) {
+        try (MutationCheck none = MutationCheck.of(Launch.found(List.of()), "replica/" + file, guard, instead)) {
             Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                     none.classes() + File.pathSeparator + System.getProperty("java.class.path"), "ploverdale.tools.Main", "lab",
                     "replicas", "--seed", "1", "--seeds", "4").redirectErrorStream(true).start();
--- a/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
@@ -15,7 +15,7 @@
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.fleet.WithoutGuard;
+import ploverdale.tools.fleet.MutationCheck;
 
 /** Budgets among processes: what is out is counted at the servers. */
 @Timeout(180)
@@ -132,7 +132,7 @@
         Launch sound = Launch.found(List.of("--fleet", file.toString()));
         List<Double> all = List.of(250.0, 250.0, 250.0, 250.0);
         FaultSchedule day = FaultSchedule.read(othersWantTheirPartsBack());
-        try (WithoutGuard none = WithoutGuard.of(sound, "budgets/Leasing.java",
+        try (MutationCheck none = MutationCheck.of(sound, "budgets/Leasing.java",
                 "(long) Math.ceil(lease * (1 + clocksApart) / (1 - clocksApart)) + 1", "lease / 20")) {
             BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
             Shown s = Fleet.play(day, new Shape(none.launch(sound), all, 5500, out));
