--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -19,7 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import ploverdale.net.LogicLoop.Clock;
-import ploverdale.tools.fleet.Day.Step;
+import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.model.GroupModel;
@@ -27,9 +27,9 @@
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
 import ploverdale.tools.stand.LossyLink;
-import ploverdale.tools.stand.Roamers;
-import ploverdale.tools.stand.Told;
-import ploverdale.tools.stand.World;
+import ploverdale.tools.stand.RoamingClients;
+import ploverdale.tools.stand.GatewayConfiguration;
+import ploverdale.tools.stand.TestCluster;
 
 /**
  * Plays one day: gateways as processes among stand-in servers, discovery and clients, with a way of its own between any
@@ -56,15 +56,15 @@
      * @param roams how clients with sessions ask beside those, or null
      * @param crowd of client connections at each gateway
      */
-    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams,
+    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams,
             Crowd crowd) {
         /** The same with as few connections as serve. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic, Roamers.Habit roams) {
+        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams) {
             this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
         }
 
         /** The same without clients that roam. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, World.Traffic traffic) {
+        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic) {
             this(launch, opsPerSecond, settlesMs, traffic, null);
         }
 
@@ -86,7 +86,7 @@
      */
     public record Crowd(int connections, int descriptors) {
         /** As few as serve, and descriptors enough. */
-        public static final Crowd NONE = new Crowd(0, Told.DESCRIPTORS);
+        public static final Crowd NONE = new Crowd(0, GatewayConfiguration.DESCRIPTORS);
     }
 
     /**
@@ -94,8 +94,8 @@
      *
      * @param late by how much answers came after their time, 0 for those in time, in microseconds
      */
-    public record Shown(Day day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
-            int writesAcked, List<Long> startsMs, List<String> log, Roamers roamers, Histogram late) {
+    public record Shown(FaultSchedule day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
+            int writesAcked, List<Long> startsMs, List<String> log, RoamingClients roamers, Histogram late) {
         /** A line of figures. */
         public String figures() {
             return String.format(Locale.ROOT, "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms", ops, readsAcked,
@@ -104,24 +104,24 @@
     }
 
     private final Vertx vertx;
-    private final Day day;
+    private final FaultSchedule day;
     private final Shape shape;
     private final SplittableRandom chance;
     private final Ledger ledger = new Ledger(DRAIN_GRACE_MS * MS);
-    private final World world;
+    private final TestCluster world;
     private final List<GatewayProcess> gateways = new ArrayList<>();
     private final List<Integer> listens = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
     private final List<Integer> discoveries = new ArrayList<>();
-    private final Map<String, Way> ways = new LinkedHashMap<>(); // by gateway and other end
+    private final Map<String, FaultyLink> ways = new LinkedHashMap<>(); // by gateway and other end
     private final Map<String, Boolean> cutOff = new HashMap<>(); // from discovery
     private final List<Long> startsMs = Collections.synchronizedList(new ArrayList<>());
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private final long began = System.nanoTime();
     private LossyLink link;
-    private Roamers roamers;
+    private RoamingClients roamers;
 
-    private Fleet(Vertx vertx, Day day, Shape shape) {
+    private Fleet(Vertx vertx, FaultSchedule day, Shape shape) {
         this.vertx = vertx;
         this.day = day;
         this.shape = shape;
@@ -129,13 +129,13 @@
         Plan plan = new Plan((shape.roams() == null ? SHIP_MS : SHIP_ROAMING_MS) * MS, 300 * MS, 600 * MS, 300 * MS, 4, 8 * MS, 0.3, 6000 * MS, 2.5, 1000 * MS,
                 5000 * MS, 4);
         GroupModel model = new GroupModel(plan, chance.split(), SERVERS, Clock.now(), (now, what) -> note("world", what));
-        world = new World(vertx, model, ledger, SERVERS, LIST_LATE_MS);
+        world = new TestCluster(vertx, model, ledger, SERVERS, LIST_LATE_MS);
         world.traffic(shape.traffic());
         world.hearsLists(g -> !cutOff.getOrDefault(g, false));
     }
 
     /** Plays a day; waits for its end. */
-    public static Shown play(Day day, Shape shape) throws Exception {
+    public static Shown play(FaultSchedule day, Shape shape) throws Exception {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1));
         List<GatewayProcess> started = Collections.synchronizedList(new ArrayList<>());
@@ -182,7 +182,7 @@
                 for (int i = 0; i < day.gateways(); i++) {
                     ports.add(ways.get("n" + i + " clients").port());
                 }
-                roamers = new Roamers(vertx, ledger, chance.split(), ports, shape.roams());
+                roamers = new RoamingClients(vertx, ledger, chance.split(), ports, shape.roams());
                 roamers.start();
             }
             for (Step s : day.steps()) {
@@ -190,7 +190,7 @@
             }
             return vertx.timer(day.lastsMs(), TimeUnit.MILLISECONDS);
         }).compose(x -> {
-            ways.values().forEach(Way::heal);
+            ways.values().forEach(FaultyLink::heal);
             if (roamers != null) {
                 roamers.stop();
             }
@@ -209,7 +209,7 @@
 
     private Shown shown() {
         world.close();
-        ways.values().forEach(Way::close);
+        ways.values().forEach(FaultyLink::close);
         link.close();
         int[] sums = new int[4];
         Histogram late = new Histogram(Clients.LONGEST_US, 3);
@@ -243,13 +243,13 @@
                 .onSuccess(w -> discoveries.add(w.port()));
         for (String s : SERVERS) {
             all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s))).onSuccess(
-                    w -> world.seenAt(Integer.toString(me), s, ((Way) w).port()));
+                    w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
         }
         return all;
     }
 
-    private Future<Way> way(int me, String end, String host, int port) {
-        return Way.open(vertx, host, port).onSuccess(w -> ways.put("n" + me + " " + end, w));
+    private Future<FaultyLink> way(int me, String end, String host, int port) {
+        return FaultyLink.open(vertx, host, port).onSuccess(w -> ways.put("n" + me + " " + end, w));
     }
 
     /** Starts a gateway, also again, once an earlier process of its name has ended. */
@@ -258,7 +258,7 @@
         for (int i = 0; i < day.gateways(); i++) {
             peers.add(link.address(i, me));
         }
-        Told told = new Told(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
+        GatewayConfiguration told = new GatewayConfiguration(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
                 world.list(Integer.toString(me), true), chance.nextLong(), BOUND_MS, shape.crowd().descriptors());
         GatewayProcess g = gateways.get(me);
         long from = System.nanoTime();
@@ -306,7 +306,7 @@
     }
 
     private void way(int me, String end, String what) {
-        Way way = ways.get("n" + me + " " + end);
+        FaultyLink way = ways.get("n" + me + " " + end);
         if (end.equals("discovery")) {
             cutOff.put(Integer.toString(me), !what.equals("OPEN"));
         }
@@ -324,7 +324,7 @@
         } else if (what.equals("OPEN")) {
             way.heal();
         } else {
-            way.state(Way.State.valueOf(what));
+            way.state(FaultyLink.State.valueOf(what));
         }
     }
 
--- a/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
@@ -12,13 +12,13 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import ploverdale.tools.fleet.Day;
-import ploverdale.tools.fleet.Drawn;
+import ploverdale.tools.fleet.FaultSchedule;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.stand.World;
+import ploverdale.tools.stand.TestCluster;
 
 /**
  * Sends out at each server as a budget of the fleet: gateways as processes, one asked five times as much as the others,
@@ -35,7 +35,7 @@
     private BudgetsRig() {}
 
     /** What is out at each server, counted there. */
-    static final class Out implements World.Traffic {
+    static final class Out implements TestCluster.Traffic {
         private final Map<String, Integer> now = new HashMap<>();
         private final int whole;
         private int most;
@@ -79,7 +79,7 @@
         List<Future<Check>> runs = new ArrayList<>();
         int[] sums = new int[8];
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            Day day = Drawn.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
+            FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
             runs.add(pool.submit(() -> {
                 Out out = new Out(WHOLE);
                 Shown shown = Fleet.play(day, shape(with, out));
@@ -116,7 +116,7 @@
         return checks;
     }
 
-    private static Shape shape(Launch launch, World.Traffic traffic) {
+    private static Shape shape(Launch launch, TestCluster.Traffic traffic) {
         List<Double> rates = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
             rates.add(i == 0 ? MORE * OPS_PER_SECOND : OPS_PER_SECOND);
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -13,15 +13,15 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.HdrHistogram.Histogram;
-import ploverdale.tools.fleet.Day;
-import ploverdale.tools.fleet.Day.Step;
-import ploverdale.tools.fleet.Day.What;
-import ploverdale.tools.fleet.Drawn;
+import ploverdale.tools.fleet.FaultSchedule;
+import ploverdale.tools.fleet.FaultSchedule.Step;
+import ploverdale.tools.fleet.FaultSchedule.What;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
-import ploverdale.tools.stand.Roamers;
+import ploverdale.tools.stand.RoamingClients;
 
 /**
  * Sessions and submits kept by gateways as processes, with clients that roam and submit again, through drawn days of faults and
@@ -33,7 +33,7 @@
     private static final long LASTS_MS = 9000;
     private static final long SETTLES_MS = 4500; // submits are vouched for a window after the start
     private static final double OPS_PER_SECOND = 5; // of each gateway, of clients that do not roam
-    static final Roamers.Habit HABIT = new Roamers.Habit(1000, 220, true);
+    static final RoamingClients.Habit HABIT = new RoamingClients.Habit(1000, 220, true);
     private static final String KEPT = "{\"sessions\":{\"keep_ms\":20000},\"submits\":{\"window_ms\":4000,\"retries_marked\":true},"
             + "\"ask_ms\":60,\"wait_ms\":150,\"bytes_per_second\":400000";
 
@@ -44,9 +44,9 @@
     }
 
     /** A drawn day on which some datagrams between any two are lost, up to half of them. */
-    private static Day day(long seed) {
+    private static FaultSchedule day(long seed) {
         int gateways = SIZES[(int) (seed % SIZES.length)];
-        Day drawn = Drawn.day(seed, gateways, LASTS_MS, Fleet.SERVERS);
+        FaultSchedule drawn = ScheduleGenerator.day(seed, gateways, LASTS_MS, Fleet.SERVERS);
         double loss = new SplittableRandom(~seed).nextInt(3) * 0.25;
         List<Step> steps = new ArrayList<>(drawn.steps());
         for (int i = 0; i < gateways && loss > 0; i++) {
@@ -56,10 +56,10 @@
                 }
             }
         }
-        return new Day(seed, gateways, LASTS_MS, steps);
+        return new FaultSchedule(seed, gateways, LASTS_MS, steps);
     }
 
-    private static Shape shape(Launch launch, Day day, Roamers.Habit habit) {
+    private static Shape shape(Launch launch, FaultSchedule day, RoamingClients.Habit habit) {
         return new Shape(launch, Collections.nCopies(day.gateways(), OPS_PER_SECOND), SETTLES_MS, (op, server, now, comes) -> { }, habit);
     }
 
@@ -73,7 +73,7 @@
             ExecutorService pool = Executors.newFixedThreadPool(atATime);
             List<Future<Shown[]>> runs = new ArrayList<>();
             for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-                Day day = day(seed);
+                FaultSchedule day = day(seed);
                 runs.add(pool.submit(() -> new Shown[] {Fleet.play(day, shape(with, day, HABIT)),
                     Fleet.play(day, shape(without, day, HABIT))}));
             }
@@ -115,12 +115,12 @@
 
     /** What the wait for copies and the asking of keepers add, on a day without faults. */
     private static Check costs(Launch waits, Launch sendsOn, Launch without) {
-        Day calm = new Day(77, 3, LASTS_MS, List.of());
+        FaultSchedule calm = new FaultSchedule(77, 3, LASTS_MS, List.of());
         StringBuilder b = new StringBuilder();
         boolean holds = true;
         try {
             for (Launch l : List.of(without, sendsOn, waits)) {
-                Shown s = Fleet.play(calm, shape(l, calm, new Roamers.Habit(1000, 220, false)));
+                Shown s = Fleet.play(calm, shape(l, calm, new RoamingClients.Habit(1000, 220, false)));
                 b.append(l == without ? "without" : l == sendsOn ? "; kept" : "; acks wait").append(": writes ")
                         .append(times(s.roamers().writes())).append(", reads ").append(times(s.roamers().reads()));
                 holds &= l == without || s.broken().isEmpty();
--- a/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
@@ -10,18 +10,18 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import ploverdale.tools.fleet.Day;
+import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.ledger.Ledger.Rule;
-import ploverdale.tools.stand.Roamers;
+import ploverdale.tools.stand.RoamingClients;
 
 /** What processes keep together: few sessions, whose ops follow one another closely, at any gateway. */
 @Timeout(120)
 class ReplicasRigTest {
-    private static final Roamers.Habit CLOSE = new Roamers.Habit(12, 400, true);
+    private static final RoamingClients.Habit CLOSE = new RoamingClients.Habit(12, 400, true);
 
     private static Path file;
 
@@ -36,7 +36,7 @@
     }
 
     private static Shown play(String day, List<String> more) throws Exception {
-        Day d = Day.read(day);
+        FaultSchedule d = FaultSchedule.read(day);
         return Fleet.play(d, new Shape(Launch.found(more), Collections.nCopies(d.gateways(), 5.0), 4500,
                 (op, server, now, comes) -> { }, CLOSE));
     }
