--- a/tools/src/main/java/ploverdale/tools/Main.java
+++ b/tools/src/main/java/ploverdale/tools/Main.java
@@ -110,13 +110,18 @@
                 return holds ? 0 : 1;
             }
             case "plot" -> {
-                Plot.draw(Path.of(file), Path.of(out), "Parts follow (simulated)", "ms", List.of("shift_p50_ms", "shift_p99_ms",
-                        "death_p50_ms", "death_p99_ms"));
+                Plot.draw(
+                        Path.of(file),
+                        Path.of(out),
+                        "Parts follow (simulated)",
+                        "ms",
+                        List.of("shift_p50_ms", "shift_p99_ms", "death_p50_ms", "death_p99_ms"));
                 return 0;
             }
             case "explore" -> {
                 Explorer.Seen seen = new Explorer(SmallWorld.leasing(0.1), 0.1, SmallWorld.use()).explore(every);
-                System.out.println(seen.worlds() + " worlds, " + (seen.firstBad() == null ? "nothing wrong" : seen.firstBad()));
+                System.out.println(
+                        seen.worlds() + " worlds, " + (seen.firstBad() == null ? "nothing wrong" : seen.firstBad()));
                 return seen.firstBad() == null ? 0 : 1;
             }
             case "replicas" -> {
@@ -124,9 +129,12 @@
                 for (long s = seed; s < seed + seeds; s++) {
                     ReplicaModel m = ReplicaTrial.day(2 + (int) (s % 6), s);
                     broken += m.broken().size();
-                    System.out.println("seed " + s + ": " + m.counts()[0] + " writes acked, " + m.counts()[1] + " reads with a known past, "
+                    System.out.println("seed " + s + ": " + m.counts()[0] + " writes acked, " + m.counts()[1]
+                            + " reads with a known past, "
                             + m.counts()[2] + " without, " + m.broken().size() + " promises broken"
-                            + (m.broken().isEmpty() ? "" : ", first " + m.broken().get(0)));
+                            + (m.broken().isEmpty()
+                                    ? ""
+                                    : ", first " + m.broken().get(0)));
                 }
                 return broken == 0 ? 0 : 1;
             }
@@ -134,7 +142,9 @@
                 List<String> rows = new ArrayList<>(List.of(ReplicaTrial.CaughtUp.HEAD));
                 for (String size : sizes.split(",")) {
                     for (int differ : new int[] {10, 1000, facts}) {
-                        rows.add(ReplicaTrial.catchesUp(Integer.parseInt(size.strip()), facts, differ, CATCH_UP_BYTES, seed).row());
+                        rows.add(ReplicaTrial.catchesUp(
+                                        Integer.parseInt(size.strip()), facts, differ, CATCH_UP_BYTES, seed)
+                                .row());
                         System.out.println(rows.get(rows.size() - 1));
                     }
                 }
--- a/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
@@ -48,7 +48,10 @@
         }
 
         public static Step of(long atMs, What what, Object... words) {
-            return new Step(atMs, what, java.util.Arrays.stream(words).map(Object::toString).toList());
+            return new Step(
+                    atMs,
+                    what,
+                    java.util.Arrays.stream(words).map(Object::toString).toList());
         }
 
         @Override
@@ -74,7 +77,10 @@
 
     /** Reads what {@link #text} wrote; a mistake is named with its line. */
     public static FaultSchedule read(String text) {
-        List<String> lines = text.lines().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
+        List<String> lines = text.lines()
+                .map(String::strip)
+                .filter(l -> !l.isEmpty() && !l.startsWith("#"))
+                .toList();
         if (lines.isEmpty() || !lines.get(0).startsWith("day ")) {
             throw new IllegalArgumentException("a day begins with: day seed=N gateways=N lasts=MS");
         }
@@ -83,7 +89,9 @@
         for (String l : lines.subList(1, lines.size())) {
             String[] words = l.split("\\s+");
             try {
-                steps.add(new Step(Long.parseLong(words[0]), What.valueOf(words[1].toUpperCase(java.util.Locale.ROOT)),
+                steps.add(new Step(
+                        Long.parseLong(words[0]),
+                        What.valueOf(words[1].toUpperCase(java.util.Locale.ROOT)),
                         List.of(words).subList(2, words.length)));
             } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
                 throw new IllegalArgumentException("not a step: " + l + " (" + e.getMessage() + ")");
--- a/tools/src/main/java/ploverdale/tools/fleet/FaultyLink.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultyLink.java
@@ -24,7 +24,13 @@
  */
 public final class FaultyLink {
     /** What it does with bytes. */
-    public enum State { OPEN, SILENT, SILENT_THERE, SILENT_BACK, REFUSES }
+    public enum State {
+        OPEN,
+        SILENT,
+        SILENT_THERE,
+        SILENT_BACK,
+        REFUSES
+    }
 
     private static final long STEP_MS = 5; // of a throttled way
 
@@ -48,8 +54,10 @@
     /** A way to an address of loopback; done when it can be used. */
     public static Future<FaultyLink> open(Vertx vertx, String host, int target) {
         FaultyLink way = new FaultyLink(vertx, host, target);
-        return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true)).connectHandler(s -> way.new Pair(s))
-                .listen(0, "127.0.0.1").map(s -> {
+        return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
+                .connectHandler(s -> way.new Pair(s))
+                .listen(0, "127.0.0.1")
+                .map(s -> {
                     way.server = s;
                     return way;
                 });
@@ -100,7 +108,11 @@
     private static void reset(NetSocket s) {
         if (s != null) {
             try {
-                ((NetSocketInternal) s).channelHandlerContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                ((NetSocketInternal) s)
+                        .channelHandlerContext()
+                        .channel()
+                        .config()
+                        .setOption(ChannelOption.SO_LINGER, 0);
             } catch (ChannelException e) {
                 return; // closed already
             }
@@ -137,7 +149,7 @@
         }
 
         private void attach(NetSocket from, Half half) {
-            from.exceptionHandler(e -> { });
+            from.exceptionHandler(e -> {});
             from.closeHandler(x -> half.ends());
             from.handler(b -> {
                 if (delayMs > 0) {
@@ -187,7 +199,9 @@
             }
 
             private boolean blocked() {
-                return to == null || state == State.SILENT || state == (this == there ? State.SILENT_THERE : State.SILENT_BACK);
+                return to == null
+                        || state == State.SILENT
+                        || state == (this == there ? State.SILENT_THERE : State.SILENT_BACK);
             }
 
             private void flow() {
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -26,9 +26,9 @@
 import ploverdale.tools.model.Plan;
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
+import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.RoamingClients;
-import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -56,10 +56,20 @@
      * @param roams how clients with sessions ask beside those, or null
      * @param crowd of client connections at each gateway
      */
-    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams,
+    public record Shape(
+            Launch launch,
+            List<Double> opsPerSecond,
+            long settlesMs,
+            TestCluster.Traffic traffic,
+            RoamingClients.Habit roams,
             Crowd crowd) {
         /** The same with as few connections as serve. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams) {
+        public Shape(
+                Launch launch,
+                List<Double> opsPerSecond,
+                long settlesMs,
+                TestCluster.Traffic traffic,
+                RoamingClients.Habit roams) {
             this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
         }
 
@@ -75,7 +85,7 @@
 
         /** All gateways are asked as much, from the beginning. */
         public static Shape even(Launch launch, int gateways, double opsPerSecond) {
-            return new Shape(launch, Collections.nCopies(gateways, opsPerSecond), 0, (op, server, now, comes) -> { });
+            return new Shape(launch, Collections.nCopies(gateways, opsPerSecond), 0, (op, server, now, comes) -> {});
         }
     }
 
@@ -94,12 +104,29 @@
      *
      * @param late by how much answers came after their time, 0 for those in time, in microseconds
      */
-    public record Shown(FaultSchedule day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
-            int writesAcked, List<Long> startsMs, List<String> log, RoamingClients roamers, Histogram late) {
+    public record Shown(
+            FaultSchedule day,
+            List<Ledger.Broken> broken,
+            int ops,
+            int readsAsked,
+            int readsAcked,
+            int writesAsked,
+            int writesAcked,
+            List<Long> startsMs,
+            List<String> log,
+            RoamingClients roamers,
+            Histogram late) {
         /** A line of figures. */
         public String figures() {
-            return String.format(Locale.ROOT, "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms", ops, readsAcked,
-                    readsAsked, writesAcked, writesAsked, startsMs);
+            return String.format(
+                    Locale.ROOT,
+                    "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms",
+                    ops,
+                    readsAcked,
+                    readsAsked,
+                    writesAcked,
+                    writesAsked,
+                    startsMs);
         }
     }
 
@@ -126,9 +153,21 @@
         this.day = day;
         this.shape = shape;
         chance = new SplittableRandom(day.seed());
-        Plan plan = new Plan((shape.roams() == null ? SHIP_MS : SHIP_ROAMING_MS) * MS, 300 * MS, 600 * MS, 300 * MS, 4, 8 * MS, 0.3, 6000 * MS, 2.5, 1000 * MS,
-                5000 * MS, 4);
-        GroupModel model = new GroupModel(plan, chance.split(), SERVERS, Clock.now(), (now, what) -> note("world", what));
+        Plan plan = new Plan(
+                (shape.roams() == null ? SHIP_MS : SHIP_ROAMING_MS) * MS,
+                300 * MS,
+                600 * MS,
+                300 * MS,
+                4,
+                8 * MS,
+                0.3,
+                6000 * MS,
+                2.5,
+                1000 * MS,
+                5000 * MS,
+                4);
+        GroupModel model =
+                new GroupModel(plan, chance.split(), SERVERS, Clock.now(), (now, what) -> note("world", what));
         world = new TestCluster(vertx, model, ledger, SERVERS, LIST_LATE_MS);
         world.traffic(shape.traffic());
         world.hearsLists(g -> !cutOff.getOrDefault(g, false));
@@ -136,8 +175,8 @@
 
     /** Plays a day; waits for its end. */
     public static Shown play(FaultSchedule day, Shape shape) throws Exception {
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+        Vertx vertx = Vertx.vertx(
+                new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         List<GatewayProcess> started = Collections.synchronizedList(new ArrayList<>());
         try {
             Promise<Shown> done = Promise.promise();
@@ -145,7 +184,9 @@
                 Fleet fleet = new Fleet(vertx, day, shape);
                 fleet.play(started).onComplete(done);
             });
-            return done.future().toCompletionStage().toCompletableFuture()
+            return done.future()
+                    .toCompletionStage()
+                    .toCompletableFuture()
                     .get(ALL_START_WITHIN_S + (day.lastsMs() + shape.settlesMs()) / 1000 + 30, TimeUnit.SECONDS);
         } finally {
             for (GatewayProcess p : List.copyOf(started)) {
@@ -160,51 +201,58 @@
     }
 
     private Future<Shown> play(List<GatewayProcess> started) {
-        Future<?> ready = world.servers().compose(x -> LossyLink.open(vertx, chance.split(), 0, day.gateways()))
+        Future<?> ready = world.servers()
+                .compose(x -> LossyLink.open(vertx, chance.split(), 0, day.gateways()))
                 .onSuccess(l -> link = l);
         for (int i = 0; i < day.gateways(); i++) {
             int me = i;
             ready = ready.compose(x -> prepare(me));
         }
         return ready.compose(x -> {
-            List<Future<?>> ups = new ArrayList<>();
-            for (int i = 0; i < day.gateways(); i++) {
-                started.add(gateways.get(i));
-                ups.add(up(i));
-            }
-            return Future.all(ups);
-        }).compose(x -> vertx.timer(Math.max(1, shape.settlesMs()), TimeUnit.MILLISECONDS)).compose(x -> {
-            for (int i = 0; i < clients.size(); i++) {
-                clients.get(i).start(shape.opsPerSecond().get(i), 0);
-            }
-            if (shape.roams() != null) {
-                List<Integer> ports = new ArrayList<>();
-                for (int i = 0; i < day.gateways(); i++) {
-                    ports.add(ways.get("n" + i + " clients").port());
-                }
-                roamers = new RoamingClients(vertx, ledger, chance.split(), ports, shape.roams());
-                roamers.start();
-            }
-            for (Step s : day.steps()) {
-                vertx.setTimer(Math.max(1, s.atMs()), y -> happens(s));
-            }
-            return vertx.timer(day.lastsMs(), TimeUnit.MILLISECONDS);
-        }).compose(x -> {
-            ways.values().forEach(FaultyLink::heal);
-            if (roamers != null) {
-                roamers.stop();
-            }
-            Promise<Void> answered = Promise.promise();
-            int[] left = {clients.size()};
-            clients.forEach(c -> c.stop(() -> {
-                if (--left[0] == 0) {
-                    answered.tryComplete();
-                }
-            }));
-            vertx.setTimer(LAST_ANSWERS_MS, y -> answered.tryComplete());
-            return answered.future();
-        }).compose(x -> Future.all(gateways.stream().map(g -> Future.fromCompletionStage(g.kill(), vertx.getOrCreateContext()))
-                .toList())).map(x -> shown());
+                    List<Future<?>> ups = new ArrayList<>();
+                    for (int i = 0; i < day.gateways(); i++) {
+                        started.add(gateways.get(i));
+                        ups.add(up(i));
+                    }
+                    return Future.all(ups);
+                })
+                .compose(x -> vertx.timer(Math.max(1, shape.settlesMs()), TimeUnit.MILLISECONDS))
+                .compose(x -> {
+                    for (int i = 0; i < clients.size(); i++) {
+                        clients.get(i).start(shape.opsPerSecond().get(i), 0);
+                    }
+                    if (shape.roams() != null) {
+                        List<Integer> ports = new ArrayList<>();
+                        for (int i = 0; i < day.gateways(); i++) {
+                            ports.add(ways.get("n" + i + " clients").port());
+                        }
+                        roamers = new RoamingClients(vertx, ledger, chance.split(), ports, shape.roams());
+                        roamers.start();
+                    }
+                    for (Step s : day.steps()) {
+                        vertx.setTimer(Math.max(1, s.atMs()), y -> happens(s));
+                    }
+                    return vertx.timer(day.lastsMs(), TimeUnit.MILLISECONDS);
+                })
+                .compose(x -> {
+                    ways.values().forEach(FaultyLink::heal);
+                    if (roamers != null) {
+                        roamers.stop();
+                    }
+                    Promise<Void> answered = Promise.promise();
+                    int[] left = {clients.size()};
+                    clients.forEach(c -> c.stop(() -> {
+                        if (--left[0] == 0) {
+                            answered.tryComplete();
+                        }
+                    }));
+                    vertx.setTimer(LAST_ANSWERS_MS, y -> answered.tryComplete());
+                    return answered.future();
+                })
+                .compose(x -> Future.all(gateways.stream()
+                        .map(g -> Future.fromCompletionStage(g.kill(), vertx.getOrCreateContext()))
+                        .toList()))
+                .map(x -> shown());
     }
 
     private Shown shown() {
@@ -222,8 +270,18 @@
         }
         List<Ledger.Broken> broken = ledger.close(Clock.now());
         broken.forEach(b -> note("ledger", b.toString()));
-        return new Shown(day, broken, ledger.ops(), sums[0], sums[1], sums[2], sums[3], List.copyOf(startsMs),
-                List.copyOf(log), roamers, late);
+        return new Shown(
+                day,
+                broken,
+                ledger.ops(),
+                sums[0],
+                sums[1],
+                sums[2],
+                sums[3],
+                List.copyOf(startsMs),
+                List.copyOf(log),
+                roamers,
+                late);
     }
 
     private Future<?> prepare(int me) {
@@ -234,16 +292,20 @@
         } catch (IOException e) {
             return Future.failedFuture(e);
         }
-        Future<?> all = way(me, "clients", link.host(me), listens.get(me)).onSuccess(w -> {
-            Clients c = new Clients(vertx, ledger, chance.split(), Integer.toString(me), w.port(), BOUND_MS * MS);
-            c.gatewayIs(() -> gateways.get(me).alive());
-            c.holds(shape.crowd().connections());
-            clients.add(c);
-        }).compose(x -> world.discovery(Integer.toString(me))).compose(port -> way(me, "discovery", "127.0.0.1", port))
+        Future<?> all = way(me, "clients", link.host(me), listens.get(me))
+                .onSuccess(w -> {
+                    Clients c =
+                            new Clients(vertx, ledger, chance.split(), Integer.toString(me), w.port(), BOUND_MS * MS);
+                    c.gatewayIs(() -> gateways.get(me).alive());
+                    c.holds(shape.crowd().connections());
+                    clients.add(c);
+                })
+                .compose(x -> world.discovery(Integer.toString(me)))
+                .compose(port -> way(me, "discovery", "127.0.0.1", port))
                 .onSuccess(w -> discoveries.add(w.port()));
         for (String s : SERVERS) {
-            all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s))).onSuccess(
-                    w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
+            all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s)))
+                    .onSuccess(w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
         }
         return all;
     }
@@ -258,8 +320,16 @@
         for (int i = 0; i < day.gateways(); i++) {
             peers.add(link.address(i, me));
         }
-        GatewayConfiguration told = new GatewayConfiguration(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
-                world.list(Integer.toString(me), true), chance.nextLong(), BOUND_MS, shape.crowd().descriptors());
+        GatewayConfiguration told = new GatewayConfiguration(
+                me,
+                link.host(me) + ":" + listens.get(me),
+                peers,
+                day.gateways() > 1,
+                discoveries.get(me),
+                world.list(Integer.toString(me), true),
+                chance.nextLong(),
+                BOUND_MS,
+                shape.crowd().descriptors());
         GatewayProcess g = gateways.get(me);
         long from = System.nanoTime();
         CompletableFuture<Void> ready = g.ended().thenCompose(x -> {
@@ -330,9 +400,13 @@
 
     private static LossyLink.Weather weather(String word) {
         double figure = word.equals("usual") ? 0 : Double.parseDouble(word.substring(word.indexOf(':') + 1));
-        return word.equals("usual") ? null : word.startsWith("loss:") ? LossyLink.Weather.losing(figure)
-                : word.startsWith("twice:") ? new LossyLink.Weather(0, figure, 20)
-                : new LossyLink.Weather(0, 0.05, (int) figure);
+        return word.equals("usual")
+                ? null
+                : word.startsWith("loss:")
+                        ? LossyLink.Weather.losing(figure)
+                        : word.startsWith("twice:")
+                                ? new LossyLink.Weather(0, figure, 20)
+                                : new LossyLink.Weather(0, 0.05, (int) figure);
     }
 
     private void server(String id, String what) {
--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -76,13 +76,16 @@
         Path file = Files.createTempFile("gateway-" + name, ".json");
         Files.writeString(file, configuration);
         Path archive = launch.jar.resolveSibling("ploverdale.jsa");
-        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        List<String> line = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "@" + launch.root.resolve("deploy/gateway.args")));
         if (Files.exists(archive) && launch.before == null) {
             line.add("-XX:SharedArchiveFile=" + archive);
         }
-        line.addAll(launch.before == null ? List.of("-jar", launch.jar.toString())
-                : List.of("-cp", launch.before + File.pathSeparator + launch.jar, "ploverdale.Main"));
+        line.addAll(
+                launch.before == null
+                        ? List.of("-jar", launch.jar.toString())
+                        : List.of("-cp", launch.before + File.pathSeparator + launch.jar, "ploverdale.Main"));
         line.addAll(List.of("serve", "--config", file.toString()));
         line.addAll(launch.others.getOrDefault(name, launch.more));
         Process p = new ProcessBuilder(line).redirectErrorStream(true).start();
@@ -97,7 +100,8 @@
     }
 
     private void read(Process p, CompletableFuture<Void> up, Path file) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8))) {
             for (String l = in.readLine(); l != null; l = in.readLine()) {
                 log.accept(name, l);
                 if (l.contains(READY)) {
@@ -130,13 +134,19 @@
     /** SIGKILL: gone at once; done when the system has taken all back that it had. */
     public CompletableFuture<Void> kill() {
         killed = true;
-        return process == null ? CompletableFuture.completedFuture(null)
-                : process.destroyForcibly().onExit().orTimeout(ENDS_WITHIN_S, TimeUnit.SECONDS).thenApply(x -> null);
+        return process == null
+                ? CompletableFuture.completedFuture(null)
+                : process.destroyForcibly()
+                        .onExit()
+                        .orTimeout(ENDS_WITHIN_S, TimeUnit.SECONDS)
+                        .thenApply(x -> null);
     }
 
     /** Done when it has ended, by whatever. */
     public CompletableFuture<Void> ended() {
-        return process == null ? CompletableFuture.completedFuture(null) : process.onExit().thenApply(x -> null);
+        return process == null
+                ? CompletableFuture.completedFuture(null)
+                : process.onExit().thenApply(x -> null);
     }
 
     /** SIGTERM: asked to leave. */
@@ -156,7 +166,10 @@
 
     private void signal(String which) throws IOException, InterruptedException {
         if (alive()) {
-            new ProcessBuilder("kill", "-" + which, Long.toString(process.pid())).inheritIO().start().waitFor();
+            new ProcessBuilder("kill", "-" + which, Long.toString(process.pid()))
+                    .inheritIO()
+                    .start()
+                    .waitFor();
         }
     }
 }
--- a/tools/src/main/java/ploverdale/tools/fleet/MutationCheck.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/MutationCheck.java
@@ -36,8 +36,18 @@
             Path source = sources.resolve(Path.of(file).getFileName());
             Files.writeString(source, text.replace(guard, instead));
             JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
-            if (compiler == null || compiler.run(null, null, null, "-nowarn", "-cp", launch.jar().toString(), "-d",
-                    classes.toString(), source.toString()) != 0) {
+            if (compiler == null
+                    || compiler.run(
+                                    null,
+                                    null,
+                                    null,
+                                    "-nowarn",
+                                    "-cp",
+                                    launch.jar().toString(),
+                                    "-d",
+                                    classes.toString(),
+                                    source.toString())
+                            != 0) {
                 throw new IOException(file + " without its guard does not compile");
             }
         } finally {
--- a/tools/src/main/java/ploverdale/tools/fleet/ScheduleGenerator.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/ScheduleGenerator.java
@@ -37,11 +37,15 @@
             case 0 -> List.of(Step.of(from, What.KILL, g), Step.of(to, What.START, g));
             case 1 -> List.of(Step.of(from, What.STOP, g), Step.of(to, What.GO_ON, g));
             case 2 -> List.of(Step.of(from, What.LEAVE, g), Step.of(to, What.START, g));
-            case 3 -> List.of(Step.of(from, What.WAY, g, end, chance.nextBoolean() ? "SILENT" : "SILENT_BACK"),
-                    Step.of(to, What.WAY, g, end, "OPEN"));
+            case 3 ->
+                List.of(
+                        Step.of(from, What.WAY, g, end, chance.nextBoolean() ? "SILENT" : "SILENT_BACK"),
+                        Step.of(to, What.WAY, g, end, "OPEN"));
             case 4 -> List.of(Step.of(from, What.WAY, g, s, "REFUSES"), Step.of(to, What.WAY, g, s, "OPEN"));
-            case 5 -> List.of(Step.of(from, What.WAY, g, s, chance.nextBoolean() ? "delay:40" : "bytes:4000"),
-                    Step.of(to, What.WAY, g, s, "OPEN"));
+            case 5 ->
+                List.of(
+                        Step.of(from, What.WAY, g, s, chance.nextBoolean() ? "delay:40" : "bytes:4000"),
+                        Step.of(to, What.WAY, g, s, "OPEN"));
             case 6 -> List.of(Step.of(from, What.WORDS, g, h, "loss:1"), Step.of(to, What.WORDS, g, h, "usual"));
             case 7 -> List.of(Step.of(from, What.WAY, g, s, "reset"));
             default -> List.of(Step.of(from, What.SERVER, s, "SILENT"), Step.of(to, What.SERVER, s, "restarts"));
@@ -59,8 +63,10 @@
                 case KILL, LEAVE, STOP -> !was.containsKey(who);
                 case START -> was.get(who) == What.KILL || was.get(who) == What.LEAVE;
                 case GO_ON -> was.get(who) == What.STOP;
-                case SERVER -> s.words().get(1).equals("restarts") || s.words().get(1).equals("heals")
-                        ? down.remove(who) : down.isEmpty() && down.add(who); // a group outlives one server, not two
+                case SERVER ->
+                    s.words().get(1).equals("restarts") || s.words().get(1).equals("heals")
+                            ? down.remove(who)
+                            : down.isEmpty() && down.add(who); // a group outlives one server, not two
                 default -> true;
             };
             if (ok) {
@@ -68,7 +74,7 @@
                 switch (s.what()) {
                     case KILL, LEAVE, STOP -> was.put(who, s.what());
                     case START, GO_ON -> was.remove(who);
-                    default -> { }
+                    default -> {}
                 }
             }
         }
--- a/tools/src/main/java/ploverdale/tools/lab/Explorer.java
+++ b/tools/src/main/java/ploverdale/tools/lab/Explorer.java
@@ -16,8 +16,11 @@
     public record Seen(long worlds, String firstBad) {}
 
     /** Who wants parts: one and then the others, one and then all, each in turn, two of three. */
-    public static final List<Demand> DEMANDS = List.of(new Demand(new int[] {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6}),
-            new Demand(new int[] {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7}), new Demand(new int[] {1, 1, 1, 2, 2, 2, 4, 4, 4}), new Demand(new int[] {3, 3, 3, 3, 5, 5}));
+    public static final List<Demand> DEMANDS = List.of(
+            new Demand(new int[] {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6}),
+            new Demand(new int[] {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7}),
+            new Demand(new int[] {1, 1, 1, 2, 2, 2, 4, 4, 4}),
+            new Demand(new int[] {3, 3, 3, 3, 5, 5}));
 
     private final Leasing leasing;
     private final double drift;
--- a/tools/src/main/java/ploverdale/tools/lab/FleetModel.java
+++ b/tools/src/main/java/ploverdale/tools/lab/FleetModel.java
@@ -29,7 +29,13 @@
      * @param drift by which clocks run fast or slow, at most, as a share
      * @param delay of a datagram, at most
      */
-    public record TestCluster(Division division, Leasing leasing, double drift, double loss, double twice, long delay,
+    public record TestCluster(
+            Division division,
+            Leasing leasing,
+            double drift,
+            double loss,
+            double twice,
+            long delay,
             double bytesPerSecond) {}
 
     private record Event(long at, long order, Runnable what) implements Comparable<Event> {
@@ -92,8 +98,13 @@
         public void start(long stepMs) {
             long startedMs = STEPS_MS + now / MS + stepMs;
             membership = new Membership(number, world.division.gateways(), startedMs, chance.split());
-            budgets = new Budgets(number, Membership.start(membership.incarnation()), world.division, world.leasing,
-                    chance.split(), local());
+            budgets = new Budgets(
+                    number,
+                    Membership.start(membership.incarnation()),
+                    world.division,
+                    world.leasing,
+                    chance.split(),
+                    local());
             packing = new Packing(world.bytesPerSecond, local());
             stopped = false;
             int p = ++process;
@@ -273,7 +284,9 @@
     private void carry(int from, int to, byte[] bytes) {
         for (int copies = chance.nextDouble() < world.twice ? 2 : 1; copies > 0; copies--) {
             if (!cut[from][to] && chance.nextDouble() >= loss) {
-                at(now + 1 + chance.nextLong(world.delay), () -> instances.get(to).hears(from, bytes));
+                at(
+                        now + 1 + chance.nextLong(world.delay),
+                        () -> instances.get(to).hears(from, bytes));
             }
         }
     }
--- a/tools/src/main/java/ploverdale/tools/lab/Plot.java
+++ b/tools/src/main/java/ploverdale/tools/lab/Plot.java
@@ -23,7 +23,8 @@
     private Plot() {}
 
     /** Draws some columns of a file of rows over its first column. */
-    public static void draw(Path rows, Path picture, String title, String unit, List<String> columns) throws IOException {
+    public static void draw(Path rows, Path picture, String title, String unit, List<String> columns)
+            throws IOException {
         System.setProperty("java.awt.headless", "true");
         List<String> lines = Files.readAllLines(rows);
         List<String> head = Arrays.asList(lines.get(0).split(","));
--- a/tools/src/main/java/ploverdale/tools/lab/ReplicaModel.java
+++ b/tools/src/main/java/ploverdale/tools/lab/ReplicaModel.java
@@ -37,7 +37,13 @@
      * @param drift by which clocks that never step run fast or slow, at most; the Unix clock is off by less than is told
      * @param delay of a datagram, at most
      */
-    public record TestCluster(int gateways, Keeping keeping, double drift, double loss, double twice, long delay,
+    public record TestCluster(
+            int gateways,
+            Keeping keeping,
+            double drift,
+            double loss,
+            double twice,
+            long delay,
             double bytesPerSecond) {}
 
     private record Event(long at, long order, Runnable what) implements Comparable<Event> {
@@ -91,8 +97,13 @@
         public void start() {
             membership = new Membership(number, world.gateways, wall() / MS, chance.split());
             packing = new Packing(world.bytesPerSecond, local());
-            replicas = new Replicas(number, world.gateways, Membership.start(membership.incarnation()), world.keeping,
-                    chance.split(), this::wall);
+            replicas = new Replicas(
+                    number,
+                    world.gateways,
+                    Membership.start(membership.incarnation()),
+                    world.keeping,
+                    chance.split(),
+                    this::wall);
             stopped = false;
             int p = ++process;
             at(now + 1, () -> look(p));
@@ -252,7 +263,9 @@
     private void carry(int from, int to, byte[] bytes) {
         for (int copies = chance.nextDouble() < world.twice ? 2 : 1; copies > 0; copies--) {
             if (!cut[from][to] && chance.nextDouble() >= loss) {
-                at(now + 1 + chance.nextLong(world.delay), () -> instances.get(to).hears(from, bytes));
+                at(
+                        now + 1 + chance.nextLong(world.delay),
+                        () -> instances.get(to).hears(from, bytes));
             }
         }
     }
@@ -264,8 +277,8 @@
         Instance g = instances.get(gateway);
         if (g.runs()) {
             long position = ZERO + now;
-            long ticket = g.replicas.wrote(g.local(), Replicas.key(true, session), position, 1, world.keeping.waitWithin(), true,
-                    g.packing);
+            long ticket = g.replicas.wrote(
+                    g.local(), Replicas.key(true, session), position, 1, world.keeping.waitWithin(), true, g.packing);
             g.asks(ticket, d -> {
                 if (d.end() == End.COPIED) {
                     acked++;
@@ -286,8 +299,8 @@
                 unknown += d.end() == End.KNOWN ? 0 : 1;
                 long reach = d.end() == End.KNOWN ? d.position() : arrived;
                 if (reach < must) {
-                    broken.add("at " + now / MS + " ms n" + gateway + " reads " + session + " from " + (must - reach) / MS
-                            + " ms before its last acked write");
+                    broken.add("at " + now / MS + " ms n" + gateway + " reads " + session + " from "
+                            + (must - reach) / MS + " ms before its last acked write");
                 }
             });
         }
@@ -314,7 +327,8 @@
 
     private void proves(Instance g, int process, long key, Claim claim, boolean ran) {
         if (g.runs() && g.process == process) {
-            g.replicas.became(g.local(), key, claim, ran ? Fate.ACKED : Fate.NEVER_RAN, new byte[] {1}, 0, false, g.packing);
+            g.replicas.became(
+                    g.local(), key, claim, ran ? Fate.ACKED : Fate.NEVER_RAN, new byte[] {1}, 0, false, g.packing);
             g.sends();
         }
     }
@@ -326,7 +340,11 @@
         for (int a = 0; a < instances.size(); a++) {
             for (int b = a + 1; b < instances.size(); b++) {
                 boolean both = instances.get(a).alive() && instances.get(b).alive();
-                n += both && instances.get(a).replicas.digest(b, until) != instances.get(b).replicas.digest(a, until) ? 1 : 0;
+                n += both
+                                && instances.get(a).replicas.digest(b, until)
+                                        != instances.get(b).replicas.digest(a, until)
+                        ? 1
+                        : 0;
             }
         }
         return n;
--- a/tools/src/main/java/ploverdale/tools/lab/ReplicaTrial.java
+++ b/tools/src/main/java/ploverdale/tools/lab/ReplicaTrial.java
@@ -18,7 +18,8 @@
 
     /** What is kept in these runs. */
     public static Keeping keeping(int copies) {
-        return new Keeping(copies, true, 20 * SECOND, 60 * MS, 8 * SECOND, true, Set.of("put"), 100 * MS, 400_000, 50 * MS);
+        return new Keeping(
+                copies, true, 20 * SECOND, 60 * MS, 8 * SECOND, true, Set.of("put"), 100 * MS, 400_000, 50 * MS);
     }
 
     private static void faults(ReplicaModel m, SplittableRandom chance, int n, long from, long to) {
@@ -67,7 +68,9 @@
     }
 
     private static void halves(ReplicaModel m, int n, boolean cut) {
-        IntStream.range(0, n * n).filter(i -> (i / n < n / 2) != (i % n < n / 2)).forEach(i -> m.cut(i / n, i % n, cut));
+        IntStream.range(0, n * n)
+                .filter(i -> (i / n < n / 2) != (i % n < n / 2))
+                .forEach(i -> m.cut(i / n, i % n, cut));
     }
 
     /** A day of 24 s with sessions that roam and writes that are submitted up to four times, anywhere. */
@@ -81,9 +84,11 @@
             m.at(t, () -> m.writes(chance.nextInt(n), session));
             m.at(t + MS, () -> m.reads(chance.nextInt(n), "s" + chance.nextInt(SESSIONS)));
             boolean runs = chance.nextInt(3) > 0;
-            m.at(t, () -> m.submits(chance.nextInt(n), id, true, chance.nextLong(300 * MS), runs, e -> { }));
+            m.at(t, () -> m.submits(chance.nextInt(n), id, true, chance.nextLong(300 * MS), runs, e -> {}));
             for (int again = 1; again < 4; again++) {
-                m.at(t + again * chance.nextLong(1, SECOND), () -> m.submits(chance.nextInt(n), id, false, 10 * MS, true, e -> { }));
+                m.at(
+                        t + again * chance.nextLong(1, SECOND),
+                        () -> m.submits(chance.nextInt(n), id, false, 10 * MS, true, e -> {}));
             }
         }
         m.until(24 * SECOND);
@@ -96,7 +101,8 @@
         public static final String HEAD = "gateways,facts,differ,after_ms,bytes_of_all,bytes_a_second_idle";
 
         public String row() {
-            return String.format(Locale.ROOT, "%d,%d,%d,%d,%d,%.0f", gateways, facts, differ, afterMs, bytes, bytesIdle);
+            return String.format(
+                    Locale.ROOT, "%d,%d,%d,%d,%d,%.0f", gateways, facts, differ, afterMs, bytes, bytesIdle);
         }
     }
 
--- a/tools/src/main/java/ploverdale/tools/lab/SmallSubmits.java
+++ b/tools/src/main/java/ploverdale/tools/lab/SmallSubmits.java
@@ -30,7 +30,8 @@
     private static final long ZERO = 17_000_000_000_000L;
     private static final long WINDOW = 5 * SECOND;
     private static final long KEY = Replicas.key(false, "w");
-    private static final Keeping KEEPING = new Keeping(GATEWAYS, false, SECOND, SECOND / 10, WINDOW, true, Set.of(), 1, 100, 100);
+    private static final Keeping KEEPING =
+            new Keeping(GATEWAYS, false, SECOND, SECOND / 10, WINDOW, true, Set.of(), 1, 100, 100);
 
     private record Message(int from, long start, int to, byte[] bytes) {}
 
@@ -112,15 +113,21 @@
             for (Packing.Letter l : packing[i].letters(0, start[i], 1)) {
                 onTheWay.add(new Message(i, start[i], l.to(), l.bytes()));
             }
-            onTheWay.sort(Comparator.comparingInt((Message m) -> m.from * GATEWAYS + m.to).thenComparing(Message::bytes, Arrays::compare));
+            onTheWay.sort(Comparator.comparingInt((Message m) -> m.from * GATEWAYS + m.to)
+                    .thenComparing(Message::bytes, Arrays::compare));
         }
 
         private String state() {
-            StringBuilder b = new StringBuilder().append(submits).append(lost).append(restarts).append(granted);
+            StringBuilder b = new StringBuilder()
+                    .append(submits)
+                    .append(lost)
+                    .append(restarts)
+                    .append(granted);
             for (int i = 0; i < GATEWAYS; i++) {
                 b.append(" | ").append(start[i]).append(' ').append(gateways[i].told(KEY));
             }
-            onTheWay.forEach(m -> b.append(' ').append(m.from).append('>').append(m.to).append(Arrays.hashCode(m.bytes)));
+            onTheWay.forEach(
+                    m -> b.append(' ').append(m.from).append('>').append(m.to).append(Arrays.hashCode(m.bytes)));
             return b.toString();
         }
     }
--- a/tools/src/main/java/ploverdale/tools/lab/SmallWorld.java
+++ b/tools/src/main/java/ploverdale/tools/lab/SmallWorld.java
@@ -19,7 +19,14 @@
  */
 public final class SmallWorld {
     /** What goes wrong in a step. */
-    public enum Kind { DROP, LATE, TWICE, KILL, STOP, CUT }
+    public enum Kind {
+        DROP,
+        LATE,
+        TWICE,
+        KILL,
+        STOP,
+        CUT
+    }
 
     /** One fault: of a message, which one of the step; of a gateway, which one. */
     public record Fault(int step, Kind kind, int which) {}
@@ -136,7 +143,8 @@
     }
 
     /** Plays it; null if all is well, or what was not: too much in use, or parts lost for ever. */
-    public static String play(Leasing leasing, double drift, long told, boolean startsAlike, Demand demand, List<Fault> faults) {
+    public static String play(
+            Leasing leasing, double drift, long told, boolean startsAlike, Demand demand, List<Fault> faults) {
         SmallWorld w = new SmallWorld(leasing, drift, told, startsAlike);
         for (int s = 0; s < STEPS + HEALS; s++) {
             List<Fault> now = new ArrayList<>();
--- a/tools/src/main/java/ploverdale/tools/lab/Spending.java
+++ b/tools/src/main/java/ploverdale/tools/lab/Spending.java
@@ -12,7 +12,8 @@
  * instant for what is in use, in any window for a rate. Times in tenths of a millisecond.
  */
 public final class Spending {
-    private static final long WINDOW = 50_000; // kept for this long; every window that ends now and begins in it is looked at
+    private static final long WINDOW =
+            50_000; // kept for this long; every window that ends now and begins in it is looked at
     private static final double SECOND = 10_000;
 
     private final Budget budget;
@@ -36,8 +37,14 @@
         if (budget.kind() == Budget.Kind.IN_USE) {
             mostInUse = Math.max(mostInUse, ++inUse);
             if (inUse > budget.whole()) {
-                over.add(String.format(Locale.ROOT, "%.1f ms: %s takes %s to %d of %d in use", now / 10.0, who, budget.name(),
-                        inUse, budget.whole()));
+                over.add(String.format(
+                        Locale.ROOT,
+                        "%.1f ms: %s takes %s to %d of %d in use",
+                        now / 10.0,
+                        who,
+                        budget.name(),
+                        inUse,
+                        budget.whole()));
             }
             return;
         }
@@ -50,8 +57,15 @@
             double may = budget.whole() * ((now - first) + budget.holds()) / SECOND + slack;
             worst = Math.max(worst, n / may);
             if (n > may + 1e-6) {
-                over.add(String.format(Locale.ROOT, "%.1f ms: %s spends %s, %d in %.1f ms, where %.2f may be", now / 10.0, who,
-                        budget.name(), n, (now - first) / 10.0, may));
+                over.add(String.format(
+                        Locale.ROOT,
+                        "%.1f ms: %s spends %s, %d in %.1f ms, where %.2f may be",
+                        now / 10.0,
+                        who,
+                        budget.name(),
+                        n,
+                        (now - first) / 10.0,
+                        may));
                 break;
             }
             n--;
--- a/tools/src/main/java/ploverdale/tools/lab/Trial.java
+++ b/tools/src/main/java/ploverdale/tools/lab/Trial.java
@@ -21,7 +21,8 @@
     private static final double FLOOR = 0.5;
     private static final double USES = 0.25; // of what each holds, before the shift
     private static final int WANTS = 40; // parts, by the one to whom demand shifts: five times its right
-    private static final double SHIFTED = 0.8; // of what it wants, or of what floors and the others' own use leave to it
+    private static final double SHIFTED =
+            0.8; // of what it wants, or of what floors and the others' own use leave to it
     private static final long WITHIN = 60 * SECOND;
 
     /**
@@ -30,15 +31,35 @@
      * @param bytes an instance and second
      * @param idle share of the whole that nobody could spend, on the average after the start and before the faults
      */
-    public record Found(int gateways, long loanMs, double loss, long shiftP50, long shiftP99, long deathP50, long deathP99,
-            double bytes, double idle, int over) {
+    public record Found(
+            int gateways,
+            long loanMs,
+            double loss,
+            long shiftP50,
+            long shiftP99,
+            long deathP50,
+            long deathP99,
+            double bytes,
+            double idle,
+            int over) {
         /** The names of the fields, for a file. */
         public static final String HEAD = "gateways,loan_ms,loss,shift_p50_ms,shift_p99_ms,death_p50_ms,death_p99_ms,"
                 + "bytes_a_second,idle,over";
 
         public String row() {
-            return String.format(Locale.ROOT, "%d,%d,%.2f,%d,%d,%d,%d,%.0f,%.3f,%d", gateways, loanMs, loss, shiftP50, shiftP99,
-                    deathP50, deathP99, bytes, idle, over);
+            return String.format(
+                    Locale.ROOT,
+                    "%d,%d,%.2f,%d,%d,%d,%d,%.0f,%.3f,%d",
+                    gateways,
+                    loanMs,
+                    loss,
+                    shiftP50,
+                    shiftP99,
+                    deathP50,
+                    deathP99,
+                    bytes,
+                    idle,
+                    over);
         }
     }
 
@@ -52,7 +73,8 @@
         double idle = 0;
         int over = 0;
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            Division d = new Division(List.of(new Budget("tenant", Budget.Kind.RATE, PARTS * gateways, SECOND)), gateways, FLOOR);
+            Division d = new Division(
+                    List.of(new Budget("tenant", Budget.Kind.RATE, PARTS * gateways, SECOND)), gateways, FLOOR);
             Leasing leasing = new Leasing(loanMs * MS * 3 / 2, loanMs * MS, 0.05);
             FleetModel m = new FleetModel(new TestCluster(d, leasing, 0.05, loss, 0.05, 20 * MS, 2000), seed);
             SplittableRandom chance = new SplittableRandom(~seed);
@@ -74,7 +96,8 @@
             for (int i = 1; i < gateways; i++) {
                 othersFloors += d.floor(i, 0);
             }
-            double enough = SHIFTED * Math.min(WANTS, d.budgets().get(0).whole() - othersFloors - USES * PARTS * (gateways - 1) / 2);
+            double enough = SHIFTED
+                    * Math.min(WANTS, d.budgets().get(0).whole() - othersFloors - USES * PARTS * (gateways - 1) / 2);
             while (m.instance(0).parts(0) < enough && m.now() < shiftFrom + WITHIN) {
                 asks(m, chance, 1, USES * PARTS);
                 wants(m, chance);
@@ -92,8 +115,17 @@
             death.recordValue((m.now() - diedAt) / MS);
             over += m.over().size();
         }
-        return new Found(gateways, loanMs, loss, shift.getValueAtPercentile(50), shift.getValueAtPercentile(99),
-                death.getValueAtPercentile(50), death.getValueAtPercentile(99), bytes / seeds, idle / seeds, over);
+        return new Found(
+                gateways,
+                loanMs,
+                loss,
+                shift.getValueAtPercentile(50),
+                shift.getValueAtPercentile(99),
+                death.getValueAtPercentile(50),
+                death.getValueAtPercentile(99),
+                bytes / seeds,
+                idle / seeds,
+                over);
     }
 
     private static long bytes(FleetModel m) {
--- a/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
+++ b/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
@@ -9,10 +9,20 @@
 /** What happened to each op, and which rules that breaks. Times in tenths of a millisecond. */
 public final class Ledger {
     /** The rules, in the order of the project's pages. */
-    public enum Rule { ONE_ANSWER_IN_TIME, NO_EFFECT_TWICE, NOTHING_TO_DRAINING, NO_COLD_PUSHED_OVER, NO_STALE_READ }
+    public enum Rule {
+        ONE_ANSWER_IN_TIME,
+        NO_EFFECT_TWICE,
+        NOTHING_TO_DRAINING,
+        NO_COLD_PUSHED_OVER,
+        NO_STALE_READ
+    }
 
     /** A final answer. */
-    public enum Answer { ACKED, BUSY, ERRORED }
+    public enum Answer {
+        ACKED,
+        BUSY,
+        ERRORED
+    }
 
     /** A rule that was broken, and by what. */
     public record Broken(Rule rule, String what) {}
@@ -23,7 +33,8 @@
     private static final long MS = 10;
     private static final long SLACK = 500; // of the platform's rules on sockets, and for this account's own lateness
 
-    private static final long CROSSING = 1500; // between the end of a connection and an op that the other side wrote at that time
+    private static final long CROSSING =
+            1500; // between the end of a connection and an op that the other side wrote at that time
 
     /** Why a gateway may be late: what it was sent within this time may stay unanswered. */
     private static final class Excuse {
@@ -147,8 +158,10 @@
         Entry e = ops.get(op);
         boolean excused = excuses.getOrDefault(e.gateway, List.of()).stream().anyMatch(x -> !x.paused && x.covers(e));
         if (!excused && (e.sent || at - e.takenAt > CROSSING)) {
-            breaks(Rule.ONE_ANSWER_IN_TIME, op + " lost its connection " + (at - e.takenAt) / 10 + " ms after it was written"
-                    + (e.sent ? ", sent on" : "") + ", with no answer");
+            breaks(
+                    Rule.ONE_ANSWER_IN_TIME,
+                    op + " lost its connection " + (at - e.takenAt) / 10 + " ms after it was written"
+                            + (e.sent ? ", sent on" : "") + ", with no answer");
         }
         ops.remove(op);
     }
@@ -231,8 +244,10 @@
     public void readInSession(String op, long position) {
         Entry e = ops.get(op);
         if (e != null && position < e.mustReach - MS) {
-            breaks(Rule.NO_STALE_READ, op + " of " + e.session + " read from " + (e.mustReach - position) / 10
-                    + " ms before its last acked write");
+            breaks(
+                    Rule.NO_STALE_READ,
+                    op + " of " + e.session + " read from " + (e.mustReach - position) / 10
+                            + " ms before its last acked write");
         }
     }
 
--- a/tools/src/main/java/ploverdale/tools/model/GroupModel.java
+++ b/tools/src/main/java/ploverdale/tools/model/GroupModel.java
@@ -10,10 +10,23 @@
 /** A primary and its replicas. */
 public final class GroupModel {
     /** How a server takes an op. */
-    public enum Taking { WORKS, TURNS_AWAY, FULL, NOTHING, REFUSES }
+    public enum Taking {
+        WORKS,
+        TURNS_AWAY,
+        FULL,
+        NOTHING,
+        REFUSES
+    }
 
     /** An op as it comes to a server; the token is null for ops without. */
-    public record Work(String op, boolean write, String token, String server, long cameAt, long doneAt, Taking taking,
+    public record Work(
+            String op,
+            boolean write,
+            String token,
+            String server,
+            long cameAt,
+            long doneAt,
+            Taking taking,
             boolean pushedOver) {}
 
     /** What came of it: applied now, answered or not, with the position of the data; garbled answers say nothing. */
@@ -62,7 +75,9 @@
     /** Where a server stands in the log. */
     public long position(long now, String id) {
         advance(now);
-        return id.equals(primary) && servers.get(id).answers() ? now : servers.get(id).position(now, log(now), plan);
+        return id.equals(primary) && servers.get(id).answers()
+                ? now
+                : servers.get(id).position(now, log(now), plan);
     }
 
     /** How far the log has come to those who follow. */
@@ -81,8 +96,12 @@
             String best = null;
             for (ServerModel s : servers.values()) {
                 boolean may = s.answers() && !s.draining() && !s.id().equals(primary);
-                best = may && (best == null || servers.get(best).position(now, logEnd, plan)
-                        < s.position(now, logEnd, plan)) ? s.id() : best;
+                best = may
+                                && (best == null
+                                        || servers.get(best).position(now, logEnd, plan)
+                                                < s.position(now, logEnd, plan))
+                        ? s.id()
+                        : best;
             }
             if (best != null) {
                 primary = best;
@@ -153,8 +172,8 @@
     public Done ends(long now, Work w) {
         advance(now);
         ServerModel s = servers.get(w.server());
-        boolean answers = s.answers() && s.faultSince() < w.cameAt()
-                || s.fault() == Fault.NONE && s.startedAt() <= w.cameAt();
+        boolean answers =
+                s.answers() && s.faultSince() < w.cameAt() || s.fault() == Fault.NONE && s.startedAt() <= w.cameAt();
         boolean runs = answers || s.startedAt() <= w.cameAt() && chance.nextBoolean() && s.faultSince() > w.cameAt();
         boolean known = w.token() != null && tokens.getOrDefault(w.token(), Long.MIN_VALUE) > now - plan.tokenWindow();
         boolean leads = w.server().equals(primary) && (!leaderless || !answers);
@@ -167,7 +186,10 @@
             }
         }
         boolean lost = w.write() && !leads;
-        return new Done(applied, answers && !lost, s.fault() == Fault.GARBLED,
+        return new Done(
+                applied,
+                answers && !lost,
+                s.fault() == Fault.GARBLED,
                 w.write() ? lastCommit : position(now, w.server()));
     }
 }
--- a/tools/src/main/java/ploverdale/tools/model/Plan.java
+++ b/tools/src/main/java/ploverdale/tools/model/Plan.java
@@ -16,5 +16,16 @@
  * @param tokenWindow in which a repeat of a token is dropped
  * @param catchUp how much faster than time a replica that is behind applies the log
  */
-public record Plan(long ship, long detect, long elect, long switchOver, int cores, long meanWork, double coldFrom,
-        long coldFor, double overload, long overloadFor, long tokenWindow, double catchUp) {}
+public record Plan(
+        long ship,
+        long detect,
+        long elect,
+        long switchOver,
+        int cores,
+        long meanWork,
+        double coldFrom,
+        long coldFor,
+        double overload,
+        long overloadFor,
+        long tokenWindow,
+        double catchUp) {}
--- a/tools/src/main/java/ploverdale/tools/model/ServerModel.java
+++ b/tools/src/main/java/ploverdale/tools/model/ServerModel.java
@@ -6,7 +6,13 @@
 /** One server of a {@link GroupModel}; all that is known of it is here. */
 public final class ServerModel {
     /** What may be wrong with it. */
-    public enum Fault { NONE, SILENT, REFUSING, SLOW, GARBLED }
+    public enum Fault {
+        NONE,
+        SILENT,
+        REFUSING,
+        SLOW,
+        GARBLED
+    }
 
     private static final double SLOWER = 8;
     private static final int QUEUE_PER_CORE = 20;
--- a/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
@@ -13,11 +13,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
-import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -69,7 +69,9 @@
         Path file;
         try {
             file = Files.createTempFile("fleet", ".json");
-            Files.writeString(file, "{\"sends_at_server\":" + WHOLE + ",\"loan_ms\":800,\"steward_ms\":1200,\"floor_share\":0.1}");
+            Files.writeString(
+                    file,
+                    "{\"sends_at_server\":" + WHOLE + ",\"loan_ms\":800,\"steward_ms\":1200,\"floor_share\":0.1}");
             with = Launch.found(List.of("--fleet", file.toString()));
             without = Launch.found(List.of());
         } catch (IOException e) {
@@ -89,12 +91,18 @@
                     add(sums, 4, plain);
                 }
                 // Guards against a whole that holds because hardly anything was sent; a loaded machine costs some.
-                boolean serves = 4 * (shown.readsAcked() + shown.writesAcked()) > plain.readsAcked() + plain.writesAcked();
+                boolean serves =
+                        4 * (shown.readsAcked() + shown.writesAcked()) > plain.readsAcked() + plain.writesAcked();
                 boolean holds = out.firstOver == null && shown.broken().isEmpty() && serves;
-                return new Check("seed " + day.seed() + ", " + day.steps().size() + " steps: never over " + WHOLE
-                        + " out at a server, no rule broken, a quarter served of what is without", "at most " + out.most + " out; " + shown.figures() + (holds ? ""
-                        : ", first over: " + out.firstOver + ", broken: " + shown.broken() + "\n" + day.text() + "log:\n"
-                        + String.join("\n", shown.log())), holds);
+                return new Check(
+                        "seed " + day.seed() + ", " + day.steps().size() + " steps: never over " + WHOLE
+                                + " out at a server, no rule broken, a quarter served of what is without",
+                        "at most " + out.most + " out; " + shown.figures()
+                                + (holds
+                                        ? ""
+                                        : ", first over: " + out.firstOver + ", broken: " + shown.broken() + "\n"
+                                                + day.text() + "log:\n" + String.join("\n", shown.log())),
+                        holds);
             }));
         }
         List<Check> checks = new ArrayList<>();
@@ -132,7 +140,10 @@
     }
 
     private static String figures(int[] sums, int from) {
-        return String.format(Locale.ROOT, "reads acked %.1f %%, writes %.1f %%", 100.0 * sums[from + 1] / Math.max(1, sums[from]),
+        return String.format(
+                Locale.ROOT,
+                "reads acked %.1f %%, writes %.1f %%",
+                100.0 * sums[from + 1] / Math.max(1, sums[from]),
                 100.0 * sums[from + 3] / Math.max(1, sums[from + 2]));
     }
 }
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
-import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.ScheduleShrinker;
 
 /**
@@ -62,8 +62,11 @@
         }
         FaultSchedule shortest = new ScheduleShrinker(d -> breaks(d, shape), TRIES).of(day);
         List<String> log = shown.log();
-        return new Check(name, shown.figures() + ", broken " + shown.broken().size() + ", first " + shown.broken().get(0)
-                + "\n" + shortest.text() + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
+        return new Check(
+                name,
+                shown.figures() + ", broken " + shown.broken().size() + ", first "
+                        + shown.broken().get(0) + "\n" + shortest.text() + "log:\n"
+                        + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
                 false);
     }
 
--- a/tools/src/main/java/ploverdale/tools/rig/GatewayUnderTest.java
+++ b/tools/src/main/java/ploverdale/tools/rig/GatewayUnderTest.java
@@ -30,11 +30,12 @@
     Future<GatewayUnderTest> start() {
         long began = System.nanoTime();
         Log nowhere = new Log(new PrintStream(OutputStream.nullOutputStream()));
-        return Gateway.unpractised(vertx, vertx.getOrCreateContext(), nowhere, file).map(g -> {
-            port = g.port();
-            readyAfterMs = (System.nanoTime() - began) / 1_000_000;
-            return this;
-        });
+        return Gateway.unpractised(vertx, vertx.getOrCreateContext(), nowhere, file)
+                .map(g -> {
+                    port = g.port();
+                    readyAfterMs = (System.nanoTime() - began) / 1_000_000;
+                    return this;
+                });
     }
 
     long readyAfterMs() {
--- a/tools/src/main/java/ploverdale/tools/rig/Pauses.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -34,7 +34,8 @@
     private static final long BETWEEN_LEAST_MS = 150;
     private static final long BETWEEN_MOST_MS = 600;
     private static final double OPS_PER_SECOND = 120; // of each gateway
-    private static final Crowd CROWD = new Crowd(60, 160); // idle connections end after a moment where there are over 40
+    private static final Crowd CROWD =
+            new Crowd(60, 160); // idle connections end after a moment where there are over 40
     private static final int LINES = 60; // of the log of a day that fails
 
     private Pauses() {}
@@ -86,14 +87,23 @@
 
     private static Check check(Shown s) {
         Histogram late = s.late();
-        String figures = s.figures() + String.format(Locale.ROOT, ", answers after their time: p50 %.1f p99 %.1f most %.1f ms",
-                late.getValueAtPercentile(50) / 1000.0, late.getValueAtPercentile(99) / 1000.0, late.getMaxValue() / 1000.0);
+        String figures = s.figures()
+                + String.format(
+                        Locale.ROOT,
+                        ", answers after their time: p50 %.1f p99 %.1f most %.1f ms",
+                        late.getValueAtPercentile(50) / 1000.0,
+                        late.getValueAtPercentile(99) / 1000.0,
+                        late.getMaxValue() / 1000.0);
         String name = "seed " + s.day().seed() + ", " + s.day().steps().size() / 2 + " pauses: no rule broken";
         if (s.broken().isEmpty()) {
             return new Check(name, figures, true);
         }
         List<String> log = s.log();
-        return new Check(name, figures + ", broken " + s.broken().size() + ", first " + s.broken().get(0) + "\n" + s.day().text()
-                + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())), false);
+        return new Check(
+                name,
+                figures + ", broken " + s.broken().size() + ", first "
+                        + s.broken().get(0) + "\n" + s.day().text() + "log:\n"
+                        + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
+                false);
     }
 }
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -16,11 +16,11 @@
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.FaultSchedule.What;
-import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.Fleet.Shape;
 import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.stand.RoamingClients;
 
 /**
@@ -34,13 +34,15 @@
     private static final long SETTLES_MS = 4500; // submits are vouched for a window after the start
     private static final double OPS_PER_SECOND = 5; // of each gateway, of clients that do not roam
     static final RoamingClients.Habit HABIT = new RoamingClients.Habit(1000, 220, true);
-    private static final String KEPT = "{\"sessions\":{\"keep_ms\":20000},\"submits\":{\"window_ms\":4000,\"retries_marked\":true},"
-            + "\"ask_ms\":60,\"wait_ms\":150,\"bytes_per_second\":400000";
+    private static final String KEPT =
+            "{\"sessions\":{\"keep_ms\":20000},\"submits\":{\"window_ms\":4000,\"retries_marked\":true},"
+                    + "\"ask_ms\":60,\"wait_ms\":150,\"bytes_per_second\":400000";
 
     private ReplicasRig() {}
 
     static Path file(boolean waits) throws IOException {
-        return Files.writeString(Files.createTempFile("fleet", ".json"), KEPT + (waits ? ",\"wait_for_copies\":[\"put\"]}" : "}"));
+        return Files.writeString(
+                Files.createTempFile("fleet", ".json"), KEPT + (waits ? ",\"wait_for_copies\":[\"put\"]}" : "}"));
     }
 
     /** A drawn day on which some datagrams between any two are lost, up to half of them. */
@@ -60,7 +62,12 @@
     }
 
     private static Shape shape(Launch launch, FaultSchedule day, RoamingClients.Habit habit) {
-        return new Shape(launch, Collections.nCopies(day.gateways(), OPS_PER_SECOND), SETTLES_MS, (op, server, now, comes) -> { }, habit);
+        return new Shape(
+                launch,
+                Collections.nCopies(day.gateways(), OPS_PER_SECOND),
+                SETTLES_MS,
+                (op, server, now, comes) -> {},
+                habit);
     }
 
     static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
@@ -74,8 +81,9 @@
             List<Future<Shown[]>> runs = new ArrayList<>();
             for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
                 FaultSchedule day = day(seed);
-                runs.add(pool.submit(() -> new Shown[] {Fleet.play(day, shape(with, day, HABIT)),
-                    Fleet.play(day, shape(without, day, HABIT))}));
+                runs.add(pool.submit(() -> new Shown[] {
+                    Fleet.play(day, shape(with, day, HABIT)), Fleet.play(day, shape(without, day, HABIT))
+                }));
             }
             int sessions = 0;
             int kept = 0;
@@ -90,8 +98,11 @@
                 broken += both[1].broken().size();
             }
             pool.shutdown();
-            checks.add(new Check("without what is kept, the same days break the promises", sessions + " sessions, " + again
-                    + " writes submitted again; broken " + kept + " times with it and " + broken + " without", broken > 0));
+            checks.add(new Check(
+                    "without what is kept, the same days break the promises",
+                    sessions + " sessions, " + again + " writes submitted again; broken " + kept + " times with it and "
+                            + broken + " without",
+                    broken > 0));
             checks.add(costs(with, Launch.found(List.of("--fleet", sendsOn.toString())), without));
             Files.delete(file);
             Files.delete(sendsOn);
@@ -104,13 +115,24 @@
     }
 
     private static Check check(Shown s, Shown plain) {
-        int acked = s.roamers().sessions() == 0 ? 0 : (int) (s.roamers().writes().getTotalCount() + s.roamers().reads().getTotalCount());
-        int without = (int) (plain.roamers().writes().getTotalCount() + plain.roamers().reads().getTotalCount());
+        int acked = s.roamers().sessions() == 0
+                ? 0
+                : (int) (s.roamers().writes().getTotalCount()
+                        + s.roamers().reads().getTotalCount());
+        int without = (int) (plain.roamers().writes().getTotalCount()
+                + plain.roamers().reads().getTotalCount());
         boolean holds = s.broken().isEmpty() && 2 * acked > without;
-        return new Check("seed " + s.day().seed() + ", " + s.day().gateways() + " gateways, " + s.day().steps().size()
-                + " steps: no promise broken, half served of what is without", s.roamers().sessions() + " sessions, " + acked + " of "
-                + s.roamers().asked() + " ops acked, " + without + " without, " + s.roamers().submittedAgain() + " submitted again"
-                + (holds ? "" : ", broken: " + s.broken() + "\n" + s.day().text() + "log:\n" + String.join("\n", s.log())), holds);
+        return new Check(
+                "seed " + s.day().seed() + ", " + s.day().gateways() + " gateways, "
+                        + s.day().steps().size() + " steps: no promise broken, half served of what is without",
+                s.roamers().sessions() + " sessions, " + acked + " of "
+                        + s.roamers().asked() + " ops acked, " + without + " without, "
+                        + s.roamers().submittedAgain() + " submitted again"
+                        + (holds
+                                ? ""
+                                : ", broken: " + s.broken() + "\n" + s.day().text() + "log:\n"
+                                        + String.join("\n", s.log())),
+                holds);
     }
 
     /** What the wait for copies and the asking of keepers add, on a day without faults. */
@@ -121,8 +143,11 @@
         try {
             for (Launch l : List.of(without, sendsOn, waits)) {
                 Shown s = Fleet.play(calm, shape(l, calm, new RoamingClients.Habit(1000, 220, false)));
-                b.append(l == without ? "without" : l == sendsOn ? "; kept" : "; acks wait").append(": writes ")
-                        .append(times(s.roamers().writes())).append(", reads ").append(times(s.roamers().reads()));
+                b.append(l == without ? "without" : l == sendsOn ? "; kept" : "; acks wait")
+                        .append(": writes ")
+                        .append(times(s.roamers().writes()))
+                        .append(", reads ")
+                        .append(times(s.roamers().reads()));
                 holds &= l == without || s.broken().isEmpty();
             }
         } catch (Exception e) {
@@ -132,6 +157,10 @@
     }
 
     private static String times(Histogram h) {
-        return String.format(Locale.ROOT, "p50 %.1f ms p99 %.1f ms", h.getValueAtPercentile(50) / 1000.0, h.getValueAtPercentile(99) / 1000.0);
+        return String.format(
+                Locale.ROOT,
+                "p50 %.1f ms p99 %.1f ms",
+                h.getValueAtPercentile(50) / 1000.0,
+                h.getValueAtPercentile(99) / 1000.0);
     }
 }
--- a/tools/src/main/java/ploverdale/tools/rig/Rigs.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Rigs.java
@@ -20,12 +20,18 @@
     }
 
     /** All there are. */
-    public static final Map<String, Rig> ALL = new TreeMap<>(Map.of("budgets",
-            new Rig("sends at servers as a budget of the fleet, through days of faults", BudgetsRig::play), "pauses",
-            new Rig("gateways that are paused while clients crowd them", Pauses::play), "faults",
-            new Rig("gateways as processes, through days of kills, stops, restarts and cut ways", Faults::play), "replicas",
-            new Rig("sessions that roam and writes submitted again, through days of faults", ReplicasRig::play), "tier",
-            new Rig("what hundreds of instances tell one another, in simulated time", Tier::play), "warm-start",
+    public static final Map<String, Rig> ALL = new TreeMap<>(Map.of(
+            "budgets",
+            new Rig("sends at servers as a budget of the fleet, through days of faults", BudgetsRig::play),
+            "pauses",
+            new Rig("gateways that are paused while clients crowd them", Pauses::play),
+            "faults",
+            new Rig("gateways as processes, through days of kills, stops, restarts and cut ways", Faults::play),
+            "replicas",
+            new Rig("sessions that roam and writes submitted again, through days of faults", ReplicasRig::play),
+            "tier",
+            new Rig("what hundreds of instances tell one another, in simulated time", Tier::play),
+            "warm-start",
             new Rig("a new instance joins while its group has no primary", WarmStart::play)));
 
     private Rigs() {}
--- a/tools/src/main/java/ploverdale/tools/rig/Tier.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Tier.java
@@ -11,9 +11,9 @@
 import ploverdale.hearsay.Hearsay;
 import ploverdale.hearsay.Hearsay.Letter;
 import ploverdale.hearsay.Word;
-import ploverdale.model.ServerId;
 import ploverdale.model.Report;
 import ploverdale.model.Report.Role;
+import ploverdale.model.ServerId;
 
 /**
  * Hundreds of instances that start at once, in simulated time: only what they tell one another, without sockets. Each hears
@@ -41,8 +41,8 @@
     private final SplittableRandom chance;
     private final List<Hearsay> all = new ArrayList<>();
     private final List<Map<ServerId, Word>> known = new ArrayList<>();
-    private final PriorityQueue<OnItsWay> ways = new PriorityQueue<>(
-            java.util.Comparator.comparingLong(OnItsWay::at).thenComparingLong(OnItsWay::order));
+    private final PriorityQueue<OnItsWay> ways =
+            new PriorityQueue<>(java.util.Comparator.comparingLong(OnItsWay::at).thenComparingLong(OnItsWay::order));
     private final List<ServerId> servers = new ArrayList<>();
     private int named;
     private long letters;
@@ -88,8 +88,15 @@
             long passed = now - START;
             if (passed == SILENT_AT) {
                 lost = servers.get(1);
-                Word w = new Word(Role.UNKNOWN, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD, now,
-                        Report.UNTOLD, Report.UNTOLD);
+                Word w = new Word(
+                        Role.UNKNOWN,
+                        Report.UNTOLD,
+                        Report.UNTOLD,
+                        Report.UNTOLD,
+                        Report.UNTOLD,
+                        now,
+                        Report.UNTOLD,
+                        Report.UNTOLD);
                 known.get(3).merge(lost, w, Word::join);
                 all.get(3).learnt(now, lost);
             }
@@ -112,7 +119,9 @@
             startBytes = passed == 2000 * MS ? bytes : startBytes;
             if (lost != null && reached < 0) {
                 ServerId l = lost;
-                long silent = known.stream().filter(m -> m.getOrDefault(l, Word.NONE).silent()).count();
+                long silent = known.stream()
+                        .filter(m -> m.getOrDefault(l, Word.NONE).silent())
+                        .count();
                 reached = silent >= INSTANCES * TOLD ? (passed - SILENT_AT) / MS : -1;
             }
             if (passed % (100 * MS) == 0 && passed > 5000 * MS) {
@@ -132,21 +141,40 @@
         double seconds = LENGTH / (1000.0 * MS);
         double share = fresh / (double) looked;
         String name = "seed " + seed + ": ";
-        checks.add(new Check(name + "no datagram over 256 bytes", letters + " datagrams, the longest " + longest + " bytes",
+        checks.add(new Check(
+                name + "no datagram over 256 bytes",
+                letters + " datagrams, the longest " + longest + " bytes",
                 longest <= 256));
-        checks.add(new Check(name + "a silent server is known to 97 of 100 within a second", reached + " ms",
+        checks.add(new Check(
+                name + "a silent server is known to 97 of 100 within a second",
+                reached + " ms",
                 reached >= 0 && reached <= 1000));
-        checks.add(new Check(name + "positions within the bound at most instances", String.format(Locale.ROOT,
-                "%.3f of all pairs of instance and server", share), share > 0.5));
-        checks.add(new Check(name + "what words cost", String.format(Locale.ROOT,
-                "%.0f bytes an instance and second, %.2f full messages an op; %.0f bytes an instance in its first 2 s",
-                bytes / seconds / INSTANCES, bytes / 256.0 / (OPS * seconds), startBytes / (double) INSTANCES),
+        checks.add(new Check(
+                name + "positions within the bound at most instances",
+                String.format(Locale.ROOT, "%.3f of all pairs of instance and server", share),
+                share > 0.5));
+        checks.add(new Check(
+                name + "what words cost",
+                String.format(
+                        Locale.ROOT,
+                        "%.0f bytes an instance and second, %.2f full messages an op; %.0f bytes an instance in its first 2 s",
+                        bytes / seconds / INSTANCES,
+                        bytes / 256.0 / (OPS * seconds),
+                        startBytes / (double) INSTANCES),
                 bytes / 256.0 / (OPS * seconds) < 1));
-        checks.add(new Check(name + "CPU", String.format(Locale.ROOT, "%.2f ms an instance and second, stand-ins included",
-                cpuMs / seconds / INSTANCES), cpuMs / seconds / INSTANCES < 20));
-        checks.add(new Check(name + "memory does not grow with servers seen", String.format(Locale.ROOT,
-                "%d servers seen; %.1f kB an instance half-way, %.1f at the end", named,
-                (heapHalf - heapBefore) / 1024.0 / INSTANCES, (heap - heapBefore) / 1024.0 / INSTANCES),
+        checks.add(new Check(
+                name + "CPU",
+                String.format(
+                        Locale.ROOT, "%.2f ms an instance and second, stand-ins included", cpuMs / seconds / INSTANCES),
+                cpuMs / seconds / INSTANCES < 20));
+        checks.add(new Check(
+                name + "memory does not grow with servers seen",
+                String.format(
+                        Locale.ROOT,
+                        "%d servers seen; %.1f kB an instance half-way, %.1f at the end",
+                        named,
+                        (heapHalf - heapBefore) / 1024.0 / INSTANCES,
+                        (heap - heapBefore) / 1024.0 / INSTANCES),
                 heap - heapBefore < 1.3 * (heapHalf - heapBefore) + (1 << 20)));
     }
 
@@ -155,8 +183,11 @@
         ServerId id = servers.get(chance.nextInt(servers.size()));
         if (!id.equals(lost)) {
             Role role = servers.indexOf(id) % 4 == 0 ? Role.PRIMARY : Role.REPLICA;
-            known.get(at).merge(id, new Word(role, now, now - 5 * MS, now, now, Report.UNTOLD, Report.UNTOLD,
-                    Report.UNTOLD), Word::join);
+            known.get(at)
+                    .merge(
+                            id,
+                            new Word(role, now, now - 5 * MS, now, now, Report.UNTOLD, Report.UNTOLD, Report.UNTOLD),
+                            Word::join);
             all.get(at).placed(now, id);
             all.get(at).learnt(now, id);
         }
--- a/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
+++ b/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
@@ -22,8 +22,8 @@
 import ploverdale.tools.model.Plan;
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
-import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.GatewayConfiguration;
+import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -33,12 +33,27 @@
  */
 public final class WarmStart {
     /** How instances talk. */
-    public enum Words { NO_LOSS, LOSS_30, LOSS_100, OFF }
+    public enum Words {
+        NO_LOSS,
+        LOSS_30,
+        LOSS_100,
+        OFF
+    }
 
     /** What one run showed. */
-    record Outcome(List<Ledger.Broken> broken, int writesToOld, int writesAsked, int writesAcked, int readsAsked,
-            int readsAcked, Histogram writeLatency, Histogram readLatency, long readyAfterMs,
-            int datagrams, int ops, String changes) {}
+    record Outcome(
+            List<Ledger.Broken> broken,
+            int writesToOld,
+            int writesAsked,
+            int writesAcked,
+            int readsAsked,
+            int readsAcked,
+            Histogram writeLatency,
+            Histogram readLatency,
+            long readyAfterMs,
+            int datagrams,
+            int ops,
+            String changes) {}
 
     private static final long MS = 10;
     private static final long BOUND_MS = 500;
@@ -80,9 +95,13 @@
         pool.shutdown();
         for (Words w : Words.values()) {
             List<Outcome> os = all.get(w);
-            List<Ledger.Broken> broken = os.stream().flatMap(o -> o.broken().stream()).toList();
-            checks.add(new Check(w + ": no rule broken", os.stream().mapToInt(Outcome::ops).sum() + " ops, broken "
-                    + broken.size() + (broken.isEmpty() ? "" : ", first " + broken.get(0)), broken.isEmpty()));
+            List<Ledger.Broken> broken =
+                    os.stream().flatMap(o -> o.broken().stream()).toList();
+            checks.add(new Check(
+                    w + ": no rule broken",
+                    os.stream().mapToInt(Outcome::ops).sum() + " ops, broken " + broken.size()
+                            + (broken.isEmpty() ? "" : ", first " + broken.get(0)),
+                    broken.isEmpty()));
             int old = os.stream().mapToInt(Outcome::writesToOld).sum();
             checks.add(new Check(w + ": no write to the old primary", old + " writes", old == 0));
             Histogram reads = new Histogram(60_000_000, 3);
@@ -91,35 +110,52 @@
                 reads.add(o.readLatency());
                 writes.add(o.writeLatency());
             });
-            checks.add(new Check(w + ": first " + WINDOW_MS + " ms of the new instance", String.format(Locale.ROOT,
-                    "writes acked %.0f of %d (mean %.0f ms), reads acked %.0f of %d (mean %.1f ms, p99 %.1f ms), "
-                            + "ready after %.0f ms, %d datagrams",
-                    share(os, true) * asked(os, true), asked(os, true), writes.getMean() / 1000,
-                    share(os, false) * asked(os, false), asked(os, false), reads.getMean() / 1000,
-                    reads.getValueAtPercentile(99) / 1000.0,
-                    os.stream().mapToLong(Outcome::readyAfterMs).average().orElse(0),
-                    os.stream().mapToInt(Outcome::datagrams).sum()), true));
+            checks.add(new Check(
+                    w + ": first " + WINDOW_MS + " ms of the new instance",
+                    String.format(
+                            Locale.ROOT,
+                            "writes acked %.0f of %d (mean %.0f ms), reads acked %.0f of %d (mean %.1f ms, p99 %.1f ms), "
+                                    + "ready after %.0f ms, %d datagrams",
+                            share(os, true) * asked(os, true),
+                            asked(os, true),
+                            writes.getMean() / 1000,
+                            share(os, false) * asked(os, false),
+                            asked(os, false),
+                            reads.getMean() / 1000,
+                            reads.getValueAtPercentile(99) / 1000.0,
+                            os.stream()
+                                    .mapToLong(Outcome::readyAfterMs)
+                                    .average()
+                                    .orElse(0),
+                            os.stream().mapToInt(Outcome::datagrams).sum()),
+                    true));
         }
         double lost = share(all.get(Words.LOSS_100), false) - share(all.get(Words.OFF), false);
-        checks.add(new Check("all words lost is not worse than none", String.format(Locale.ROOT,
-                "share of reads acked %+.3f", lost), lost > -NOT_WORSE_BY));
+        checks.add(new Check(
+                "all words lost is not worse than none",
+                String.format(Locale.ROOT, "share of reads acked %+.3f", lost),
+                lost > -NOT_WORSE_BY));
         return checks;
     }
 
     private static int asked(List<Outcome> os, boolean writes) {
-        return os.stream().mapToInt(o -> writes ? o.writesAsked() : o.readsAsked()).sum();
+        return os.stream()
+                .mapToInt(o -> writes ? o.writesAsked() : o.readsAsked())
+                .sum();
     }
 
     private static double share(List<Outcome> os, boolean writes) {
         int asked = asked(os, writes);
-        int acked = os.stream().mapToInt(o -> writes ? o.writesAcked() : o.readsAcked()).sum();
+        int acked = os.stream()
+                .mapToInt(o -> writes ? o.writesAcked() : o.readsAcked())
+                .sum();
         return acked / (double) Math.max(1, asked);
     }
 
     /** One run; waits for its end. */
     static Outcome run(long seed, Words words) throws Exception {
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+        Vertx vertx = Vertx.vertx(
+                new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         try {
             Promise<Outcome> done = Promise.promise();
             vertx.runOnContext(x -> new Run(vertx, seed, words).play().onComplete(done));
@@ -151,62 +187,103 @@
             long elect = 300 + chance.nextInt(900);
             joinsAfterMs = 50 + chance.nextInt(1600);
             backAfterMs = detect + elect + 200 + chance.nextInt(400);
-            Plan plan = new Plan(5 * MS, detect * MS, elect * MS, 300 * MS, 4, 8 * MS, 0.3, 6000 * MS, 2.5, 1000 * MS,
-                    5000 * MS, 4);
-            model = new GroupModel(plan, chance.split(), IDS, Clock.now(),
-                    (now, what) -> changes.append(now / 10 % 100_000).append(' ').append(what).append("; "));
+            Plan plan = new Plan(
+                    5 * MS, detect * MS, elect * MS, 300 * MS, 4, 8 * MS, 0.3, 6000 * MS, 2.5, 1000 * MS, 5000 * MS, 4);
+            model = new GroupModel(
+                    plan,
+                    chance.split(),
+                    IDS,
+                    Clock.now(),
+                    (now, what) -> changes.append(now / 10 % 100_000)
+                            .append(' ')
+                            .append(what)
+                            .append("; "));
             world = new TestCluster(vertx, model, ledger, IDS, 1500);
         }
 
         private Future<Outcome> play() {
             double loss = words == Words.LOSS_30 ? 0.3 : words == Words.LOSS_100 ? 1 : 0;
-            return world.servers().compose(x -> LossyLink.open(vertx, chance.split(), loss, 2)).compose(l -> {
-                link = l;
-                return gateway(0);
-            }).compose(x -> {
-                clients.get(0).start(RATE, 0);
-                return vertx.timer(500, TimeUnit.MILLISECONDS);
-            }).compose(x -> {
-                world.fault(IDS.get(0), Fault.SILENT);
-                vertx.setTimer(backAfterMs, y -> world.heals(IDS.get(0), true));
-                return vertx.timer(joinsAfterMs, TimeUnit.MILLISECONDS);
-            }).compose(x -> gateway(1)).compose(x -> {
-                clients.get(1).start(RATE, WINDOW_MS - gateways.get(1).readyAfterMs());
-                return vertx.timer(1300, TimeUnit.MILLISECONDS);
-            }).compose(x -> {
-                Promise<Void> drained = Promise.promise();
-                clients.get(0).stop(() -> clients.get(1).stop(drained::tryComplete));
-                return drained.future();
-            }).compose(x -> Future.all(gateways.get(0).kill(), gateways.get(1).kill())).map(x -> {
-                world.close();
-                Clients.Tally w = clients.get(1).tally(true, true);
-                Clients.Tally r = clients.get(1).tally(false, true);
-                return new Outcome(ledger.close(Long.MAX_VALUE / 4), ledger.writesSent("1", IDS.get(0)), w.asked(),
-                        w.acked(), r.asked(), r.acked(), w.latency(), r.latency(), gateways.get(1).readyAfterMs(),
-                        link.carried(), ledger.ops(), changes.toString());
-            });
+            return world.servers()
+                    .compose(x -> LossyLink.open(vertx, chance.split(), loss, 2))
+                    .compose(l -> {
+                        link = l;
+                        return gateway(0);
+                    })
+                    .compose(x -> {
+                        clients.get(0).start(RATE, 0);
+                        return vertx.timer(500, TimeUnit.MILLISECONDS);
+                    })
+                    .compose(x -> {
+                        world.fault(IDS.get(0), Fault.SILENT);
+                        vertx.setTimer(backAfterMs, y -> world.heals(IDS.get(0), true));
+                        return vertx.timer(joinsAfterMs, TimeUnit.MILLISECONDS);
+                    })
+                    .compose(x -> gateway(1))
+                    .compose(x -> {
+                        clients.get(1).start(RATE, WINDOW_MS - gateways.get(1).readyAfterMs());
+                        return vertx.timer(1300, TimeUnit.MILLISECONDS);
+                    })
+                    .compose(x -> {
+                        Promise<Void> drained = Promise.promise();
+                        clients.get(0).stop(() -> clients.get(1).stop(drained::tryComplete));
+                        return drained.future();
+                    })
+                    .compose(x ->
+                            Future.all(gateways.get(0).kill(), gateways.get(1).kill()))
+                    .map(x -> {
+                        world.close();
+                        Clients.Tally w = clients.get(1).tally(true, true);
+                        Clients.Tally r = clients.get(1).tally(false, true);
+                        return new Outcome(
+                                ledger.close(Long.MAX_VALUE / 4),
+                                ledger.writesSent("1", IDS.get(0)),
+                                w.asked(),
+                                w.acked(),
+                                r.asked(),
+                                r.acked(),
+                                w.latency(),
+                                r.latency(),
+                                gateways.get(1).readyAfterMs(),
+                                link.carried(),
+                                ledger.ops(),
+                                changes.toString());
+                    });
         }
 
         private Future<?> gateway(int me) {
-            return world.discovery(Integer.toString(me)).compose(discovery -> {
-                GatewayUnderTest g;
-                try {
-                    g = new GatewayUnderTest(new GatewayConfiguration(me, "127.0.0.1:0", List.of(link.address(0, me), link.address(1, me)), words != Words.OFF,
-                            discovery, world.list(true), chance.nextLong(), BOUND_MS));
-                } catch (IOException e) {
-                    return Future.failedFuture(e);
-                }
-                gateways.add(g);
-                return g.start();
-            }).compose(g -> {
-                Promise<Void> here = Promise.promise(); // back on the event loop of the stand-ins
-                vertx.runOnContext(x -> {
-                    clients.add(new Clients(vertx, ledger, chance.split(), Integer.toString(me),
-                            ((GatewayUnderTest) g).port(), BOUND_MS * MS));
-                    here.complete();
-                });
-                return here.future();
-            });
+            return world.discovery(Integer.toString(me))
+                    .compose(discovery -> {
+                        GatewayUnderTest g;
+                        try {
+                            g = new GatewayUnderTest(new GatewayConfiguration(
+                                    me,
+                                    "127.0.0.1:0",
+                                    List.of(link.address(0, me), link.address(1, me)),
+                                    words != Words.OFF,
+                                    discovery,
+                                    world.list(true),
+                                    chance.nextLong(),
+                                    BOUND_MS));
+                        } catch (IOException e) {
+                            return Future.failedFuture(e);
+                        }
+                        gateways.add(g);
+                        return g.start();
+                    })
+                    .compose(g -> {
+                        Promise<Void> here = Promise.promise(); // back on the event loop of the stand-ins
+                        vertx.runOnContext(x -> {
+                            clients.add(new Clients(
+                                    vertx,
+                                    ledger,
+                                    chance.split(),
+                                    Integer.toString(me),
+                                    ((GatewayUnderTest) g).port(),
+                                    BOUND_MS * MS));
+                            here.complete();
+                        });
+                        return here.future();
+                    });
         }
     }
 }
--- a/tools/src/main/java/ploverdale/tools/stand/Clients.java
+++ b/tools/src/main/java/ploverdale/tools/stand/Clients.java
@@ -77,7 +77,7 @@
     private int names;
     private int out;
     private boolean stopped;
-    private Runnable drained = () -> { };
+    private Runnable drained = () -> {};
     private BooleanSupplier alive = () -> true;
 
     /** @param bound of reads, in tenths of a millisecond */
@@ -177,8 +177,10 @@
         private Buffer text() {
             String comment = " /* id=" + id + ",c=" + (write ? "put" : "view") + ",t=all,d=" + waitsMs() + ",cluster=0"
                     + (again ? ",r=1" : "") + " */";
-            return PgCodec.query((write ? "INSERT INTO state (uid, val) VALUES ('" + name + "', '\\x00') RETURNING val"
-                    : "SELECT val FROM state WHERE uid = '" + name + "'") + comment);
+            return PgCodec.query((write
+                            ? "INSERT INTO state (uid, val) VALUES ('" + name + "', '\\x00') RETURNING val"
+                            : "SELECT val FROM state WHERE uid = '" + name + "'")
+                    + comment);
         }
 
         private void ended(Answer answer) {
@@ -228,7 +230,7 @@
                 }
                 socket = r.result();
                 socket.handler(this::bytes);
-                socket.exceptionHandler(e -> { });
+                socket.exceptionHandler(e -> {});
                 socket.closeHandler(x -> closed());
                 socket.write(PgCodec.hello());
             });
--- a/tools/src/main/java/ploverdale/tools/stand/GatewayConfiguration.java
+++ b/tools/src/main/java/ploverdale/tools/stand/GatewayConfiguration.java
@@ -13,13 +13,29 @@
  * @param boundMs of reads
  * @param descriptors that it may hold
  */
-public record GatewayConfiguration(int me, String listen, List<String> peers, boolean words, int discoveryPort, String known, long seed,
-        long boundMs, int descriptors) {
+public record GatewayConfiguration(
+        int me,
+        String listen,
+        List<String> peers,
+        boolean words,
+        int discoveryPort,
+        String known,
+        long seed,
+        long boundMs,
+        int descriptors) {
     /** Enough for any day that is not about them. */
     public static final int DESCRIPTORS = 512;
 
     /** The same with descriptors enough. */
-    public GatewayConfiguration(int me, String listen, List<String> peers, boolean words, int discoveryPort, String known, long seed, long boundMs) {
+    public GatewayConfiguration(
+            int me,
+            String listen,
+            List<String> peers,
+            boolean words,
+            int discoveryPort,
+            String known,
+            long seed,
+            long boundMs) {
         this(me, listen, peers, words, discoveryPort, known, seed, boundMs, DESCRIPTORS);
     }
 
@@ -43,6 +59,18 @@
                "connectTimeoutMs":250,"idleCloseMs":30000,"mayDuplicate":false,"maxStreams":1,"peerMessages":%b},
               "contract":{"answerSlackMs":50,"startCapacity":0.3,"coldMs":6000,"overloadFactor":2.5,
                "overloadForMs":1000,"stopSendingWithinMs":500}}}
-            """.formatted(me, listen, discoveryPort, seed, descriptors, peers.get(me), all, known, peers.size(), me, boundMs, words);
+            """.formatted(
+                        me,
+                        listen,
+                        discoveryPort,
+                        seed,
+                        descriptors,
+                        peers.get(me),
+                        all,
+                        known,
+                        peers.size(),
+                        me,
+                        boundMs,
+                        words);
     }
 }
--- a/tools/src/main/java/ploverdale/tools/stand/LossyLink.java
+++ b/tools/src/main/java/ploverdale/tools/stand/LossyLink.java
@@ -59,7 +59,8 @@
                 link.ends[i][j] = s;
                 int from = i;
                 int to = j;
-                all.add(s.listen(0, i == j ? link.hosts[i] : "127.0.0.1").onSuccess(x -> x.handler(p -> link.carry(from, to, p.data()))));
+                all.add(s.listen(0, i == j ? link.hosts[i] : "127.0.0.1")
+                        .onSuccess(x -> x.handler(p -> link.carry(from, to, p.data()))));
             }
         }
         return Future.all(all).compose(x -> {
@@ -76,7 +77,9 @@
 
     /** Where an instance is seen by another, or hears itself. */
     public String address(int of, int at) {
-        return of == at ? hosts[at] + ":" + hears[at] : "127.0.0.1:" + ends[at][of].localAddress().port();
+        return of == at
+                ? hosts[at] + ":" + hears[at]
+                : "127.0.0.1:" + ends[at][of].localAddress().port();
     }
 
     /** An address of loopback that is that instance's alone. */
--- a/tools/src/main/java/ploverdale/tools/stand/RoamingClients.java
+++ b/tools/src/main/java/ploverdale/tools/stand/RoamingClients.java
@@ -126,7 +126,7 @@
                 }
                 NetSocket socket = r.result();
                 boolean[] up = {false};
-                socket.exceptionHandler(e -> { });
+                socket.exceptionHandler(e -> {});
                 socket.closeHandler(x -> ends(null));
                 socket.handler(more -> {
                     stream.feed(more);
@@ -140,7 +140,8 @@
                         } else if (m instanceof PgCodec.Done) {
                             answer = Answer.ACKED;
                         } else if (m instanceof PgCodec.Problem p) {
-                            answer = p.code().equals("53300") || p.code().equals("57P03") ? Answer.BUSY : Answer.ERRORED;
+                            answer =
+                                    p.code().equals("53300") || p.code().equals("57P03") ? Answer.BUSY : Answer.ERRORED;
                         }
                     }
                 });
@@ -157,7 +158,8 @@
             taken = true;
             asked++;
             if (times == 0) {
-                ledger.taken(id, new Ledger.Kind(write, false, 0), id, Integer.toString(gateway), now, now + WAITS_MS * 10L);
+                ledger.taken(
+                        id, new Ledger.Kind(write, false, 0), id, Integer.toString(gateway), now, now + WAITS_MS * 10L);
                 ledger.session(id, "s" + session);
             } else {
                 again++;
@@ -165,8 +167,10 @@
             }
             String comment = " /* id=" + id + ",c=" + (write ? "put" : "mine") + ",t=all,d=" + WAITS_MS + ",cluster=0"
                     + (times > 0 ? ",r=1" : "") + " */";
-            socket.write(PgCodec.query((write ? "INSERT INTO state (uid, val) VALUES ('s" + session + "', '\\x00') RETURNING val"
-                    : "SELECT val FROM state WHERE uid = 's" + session + "'") + comment));
+            socket.write(PgCodec.query((write
+                            ? "INSERT INTO state (uid, val) VALUES ('s" + session + "', '\\x00') RETURNING val"
+                            : "SELECT val FROM state WHERE uid = 's" + session + "'")
+                    + comment));
         }
 
         private void ends(Answer how) {
@@ -182,7 +186,8 @@
             if (how == Answer.ACKED) {
                 (write ? writes : reads).recordValue(Math.min(60_000_000, (System.nanoTime() - at) / 1000));
             }
-            boolean oncemore = write && habit.submitsAgain() && taken && how != Answer.ACKED && times < AGAIN_MOST && !stopped;
+            boolean oncemore =
+                    write && habit.submitsAgain() && taken && how != Answer.ACKED && times < AGAIN_MOST && !stopped;
             if (oncemore) {
                 vertx.setTimer(1 + chance.nextInt(60), x -> new Ask(session, true, id, times + 1).begins());
             } else {
--- a/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
+++ b/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
@@ -23,7 +23,6 @@
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.model.GroupModel;
 import ploverdale.tools.model.GroupModel.Done;
-import ploverdale.tools.model.GroupModel.Taking;
 import ploverdale.tools.model.GroupModel.Work;
 import ploverdale.tools.model.ServerModel.Fault;
 
@@ -44,7 +43,7 @@
     private final long listLateMs;
     private final Map<String, Integer> ports = new LinkedHashMap<>();
     private final Map<String, Integer> seenAt = new HashMap<>(); // by gateway and server, where it goes another way
-    private Traffic traffic = (op, server, now, out) -> { };
+    private Traffic traffic = (op, server, now, out) -> {};
     private Predicate<String> hearsLists = x -> true;
     private final Map<String, Set<NetSocket>> open = new HashMap<>();
     private final List<Object> up = new ArrayList<>(); // held, since one that nobody holds may be closed
@@ -76,8 +75,10 @@
             open.put(id, new HashSet<>());
             phase.put(id, "SERVING");
             startedAt.put(id, 0L);
-            all = all.compose(x -> vertx.createNetServer().connectHandler(s -> new Connection(id, s))
-                    .listen(0, "127.0.0.1").map(s -> {
+            all = all.compose(x -> vertx.createNetServer()
+                    .connectHandler(s -> new Connection(id, s))
+                    .listen(0, "127.0.0.1")
+                    .map(s -> {
                         up.add(s);
                         ports.put(id, s.actualPort());
                         return null;
@@ -108,23 +109,26 @@
 
     /** Starts discovery for one gateway; the future holds its port. */
     public Future<Integer> discovery(String gateway) {
-        return vertx.createHttpServer().requestHandler(r -> {
-            String from = r.getParam("from");
-            if (from == null || Integer.parseInt(from) != revision) {
-                tell(r.response(), gateway, from == null);
-                return;
-            }
-            Waiting w = new Waiting(r.response(), gateway);
-            watches.add(w);
-            vertx.setTimer(Math.max(1, Long.parseLong(r.getParam("hold_ms"))), x -> {
-                if (watches.remove(w)) {
-                    r.response().end("{\"revision\":" + revision + ",\"complete\":false,\"members\":[]}");
-                }
-            });
-        }).listen(0, "127.0.0.1").map(s -> {
-            up.add(s);
-            return s.actualPort();
-        });
+        return vertx.createHttpServer()
+                .requestHandler(r -> {
+                    String from = r.getParam("from");
+                    if (from == null || Integer.parseInt(from) != revision) {
+                        tell(r.response(), gateway, from == null);
+                        return;
+                    }
+                    Waiting w = new Waiting(r.response(), gateway);
+                    watches.add(w);
+                    vertx.setTimer(Math.max(1, Long.parseLong(r.getParam("hold_ms"))), x -> {
+                        if (watches.remove(w)) {
+                            r.response().end("{\"revision\":" + revision + ",\"complete\":false,\"members\":[]}");
+                        }
+                    });
+                })
+                .listen(0, "127.0.0.1")
+                .map(s -> {
+                    up.add(s);
+                    return s.actualPort();
+                });
     }
 
     private void tell(HttpServerResponse to, String gateway, boolean whole) {
@@ -143,13 +147,21 @@
 
     /** The same, as this gateway is told. */
     public String list(String gateway, boolean complete) {
-        StringBuilder b = new StringBuilder("{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[");
+        StringBuilder b =
+                new StringBuilder("{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[");
         for (String id : ids) {
-            b.append(b.charAt(b.length() - 1) == '[' ? "" : ",").append("{\"id\":\"").append(id)
-                    .append("\",\"host_port\":\"127.0.0.1:").append(seenAt.getOrDefault(gateway + " " + id, ports.get(id)))
-                    .append("\",\"locality\":\"here\",\"cell\":0,\"phase\":\"").append(phase.get(id))
-                    .append("\",\"rank\":\"").append(id.equals(ids.get(0)) ? "source" : "copy")
-                    .append("\",\"up_since_ms\":").append(startedAt.get(id)).append('}');
+            b.append(b.charAt(b.length() - 1) == '[' ? "" : ",")
+                    .append("{\"id\":\"")
+                    .append(id)
+                    .append("\",\"host_port\":\"127.0.0.1:")
+                    .append(seenAt.getOrDefault(gateway + " " + id, ports.get(id)))
+                    .append("\",\"locality\":\"here\",\"cell\":0,\"phase\":\"")
+                    .append(phase.get(id))
+                    .append("\",\"rank\":\"")
+                    .append(id.equals(ids.get(0)) ? "source" : "copy")
+                    .append("\",\"up_since_ms\":")
+                    .append(startedAt.get(id))
+                    .append('}');
         }
         return b.append("]}").toString();
     }
@@ -218,7 +230,7 @@
             }
             open.get(server).add(socket);
             socket.handler(this::bytes);
-            socket.exceptionHandler(e -> { });
+            socket.exceptionHandler(e -> {});
             socket.closeHandler(x -> {
                 gone = true;
                 open.get(server).remove(socket);
@@ -317,8 +329,10 @@
                 ledger.read(w.op(), d.position(), w.cameAt());
                 ledger.readInSession(w.op(), d.position());
             }
-            socket.write(d.garbled() ? Buffer.buffer("#~noise~#")
-                    : row(now, value.getBytes(StandardCharsets.UTF_8), d.position()));
+            socket.write(
+                    d.garbled()
+                            ? Buffer.buffer("#~noise~#")
+                            : row(now, value.getBytes(StandardCharsets.UTF_8), d.position()));
         }
 
         private Buffer row(long now, byte[] value, long position) {
@@ -326,8 +340,8 @@
             PgCodec.told(b, "rank", leads(now) ? "source" : "copy");
             PgCodec.told(b, "as_of", Long.toString(Math.floorDiv(position, 10)));
             PgCodec.told(b, "vitals", vitals(now));
-            return b.appendBuffer(PgCodec.acked(new PgCodec.Row(new PgCodec.Column("val", 0, (short) 0, OID_BYTES,
-                    (short) -1, -1, (short) 1), value, "SELECT 1")));
+            return b.appendBuffer(PgCodec.acked(new PgCodec.Row(
+                    new PgCodec.Column("val", 0, (short) 0, OID_BYTES, (short) -1, -1, (short) 1), value, "SELECT 1")));
         }
 
         private boolean leads(long now) {
@@ -335,8 +349,12 @@
         }
 
         private String vitals(long now) {
-            return String.format(Locale.ROOT, "x0=%.3f,x1=%d,util=%.2f", model.position(now, server) / 10_000.0 - 0.0005,
-                    leads(now) ? 1 : 0, model.server(server).busy(now));
+            return String.format(
+                    Locale.ROOT,
+                    "x0=%.3f,x1=%d,util=%.2f",
+                    model.position(now, server) / 10_000.0 - 0.0005,
+                    leads(now) ? 1 : 0,
+                    model.server(server).busy(now));
         }
     }
 }
--- a/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
@@ -62,15 +62,29 @@
         try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        g.start(new ploverdale.tools.stand.GatewayConfiguration(0, "127.0.0.1:" + port, List.of("127.0.0.1:1"), false, port, "{\"revision\":1,\"complete\":true,"
-                + "\"members\":[]}", 7, 500).json()).get(60, java.util.concurrent.TimeUnit.SECONDS);
+        g.start(new ploverdale.tools.stand.GatewayConfiguration(
+                                0,
+                                "127.0.0.1:" + port,
+                                List.of("127.0.0.1:1"),
+                                false,
+                                port,
+                                "{\"revision\":1,\"complete\":true," + "\"members\":[]}",
+                                7,
+                                500)
+                        .json())
+                .get(60, java.util.concurrent.TimeUnit.SECONDS);
         try {
             assertThat(ProcessHandle.of(g.pid()).orElseThrow().children()).isEmpty();
             List<String> six = sockets("tcp6");
             six.addAll(sockets("udp6"));
-            assertThat(descriptors(g.pid())).as(() -> String.join("\n", log)).isNotEmpty().doesNotContainAnyElementsOf(six)
+            assertThat(descriptors(g.pid()))
+                    .as(() -> String.join("\n", log))
+                    .isNotEmpty()
+                    .doesNotContainAnyElementsOf(six)
                     .noneMatch(d -> d.contains("io_uring") || d.contains("deleted"));
-            assertThat(Files.readString(Path.of("/proc/" + g.pid() + "/maps"))).contains("libc.so").doesNotContain("libnetty");
+            assertThat(Files.readString(Path.of("/proc/" + g.pid() + "/maps")))
+                    .contains("libc.so")
+                    .doesNotContain("libnetty");
         } finally {
             g.kill().get();
             Files.delete(file);
--- a/tools/src/test/java/ploverdale/tools/lab/ExplorerTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/ExplorerTest.java
@@ -18,11 +18,15 @@
 
     @Test
     void aTimeOfUseThatIsToldTooShortIsFound() {
-        assertThat(new Explorer(SmallWorld.leasing(0.001), 0, 10).explore(1999).firstBad()).contains("in use");
+        assertThat(new Explorer(SmallWorld.leasing(0.001), 0, 10).explore(1999).firstBad())
+                .contains("in use");
     }
 
     @Test
     void aProcessThatSpeaksAsTheOneBeforeItIsFound() {
-        assertThat(new Explorer(SmallWorld.leasing(DRIFT), DRIFT, SmallWorld.use(), true).explore(499).firstBad()).isNotNull();
+        assertThat(new Explorer(SmallWorld.leasing(DRIFT), DRIFT, SmallWorld.use(), true)
+                        .explore(499)
+                        .firstBad())
+                .isNotNull();
     }
 }
--- a/tools/src/test/java/ploverdale/tools/lab/FleetModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/FleetModelTest.java
@@ -24,8 +24,12 @@
     private static double worst; // the most that was spent of what may be, of both budgets, on any day
 
     private static Division division(int gateways) {
-        return new Division(List.of(new Budget("tenant", Budget.Kind.RATE, 60, SECOND),
-                new Budget("server", Budget.Kind.IN_USE, 24, USE)), gateways, 0.5);
+        return new Division(
+                List.of(
+                        new Budget("tenant", Budget.Kind.RATE, 60, SECOND),
+                        new Budget("server", Budget.Kind.IN_USE, 24, USE)),
+                gateways,
+                0.5);
     }
 
     private static TestCluster world(int gateways, Leasing leasing) {
@@ -73,8 +77,11 @@
                     m.at(b, () -> m.cut(x, y, false));
                 }
                 case 3 -> { // two halves
-                    m.at(a, () -> IntStream.range(0, n * n).filter(i -> (i / n < n / 2) != (i % n < n / 2))
-                            .forEach(i -> m.cut(i / n, i % n, true)));
+                    m.at(
+                            a,
+                            () -> IntStream.range(0, n * n)
+                                    .filter(i -> (i / n < n / 2) != (i % n < n / 2))
+                                    .forEach(i -> m.cut(i / n, i % n, true)));
                     m.at(b, () -> IntStream.range(0, n * n).forEach(i -> m.cut(i / n, i % n, false)));
                 }
                 case 4 -> {
@@ -82,9 +89,15 @@
                     m.at(b, () -> m.loses(0.05));
                 }
                 default -> {
-                    m.at(a, () -> IntStream.range(0, n * 7 / 10).forEach(i -> m.instance(i).kill()));
-                    m.at(a + 500 * MS, () -> IntStream.range(0, n * 7 / 10).filter(i -> !m.instance(i).alive())
-                            .forEach(i -> m.instance(i).start(0)));
+                    m.at(
+                            a,
+                            () -> IntStream.range(0, n * 7 / 10)
+                                    .forEach(i -> m.instance(i).kill()));
+                    m.at(
+                            a + 500 * MS,
+                            () -> IntStream.range(0, n * 7 / 10)
+                                    .filter(i -> !m.instance(i).alive())
+                                    .forEach(i -> m.instance(i).start(0)));
                 }
             }
         }
@@ -106,7 +119,9 @@
     void neverIsMoreSpentThanTheWholeThroughFaultsByChance() {
         for (long seed = 1; seed <= 60; seed++) {
             int n = 2 + (int) (seed % 9);
-            assertThat(play(n, seed, LEASING)).as("seed %d, %d gateways", seed, n).isEmpty();
+            assertThat(play(n, seed, LEASING))
+                    .as("seed %d, %d gateways", seed, n)
+                    .isEmpty();
         }
         assertThat(worst).as("about all of the whole was used").isBetween(0.75, 1.0);
     }
@@ -123,10 +138,12 @@
                     m.at(t + chance.nextInt(10), () -> m.instance(who).spend(1, USE));
                 }
             }
-            m.at(16 * SECOND, () -> IntStream.range(0, 3).forEach(i -> {
-                m.cut(i, 3, true);
-                m.cut(3, i, true);
-            }));
+            m.at(
+                    16 * SECOND,
+                    () -> IntStream.range(0, 3).forEach(i -> {
+                        m.cut(i, 3, true);
+                        m.cut(3, i, true);
+                    }));
             m.until(24 * SECOND);
             over.addAll(m.over());
         }
@@ -136,7 +153,9 @@
     @Test
     void aLoanIsOverForTheBorrowerBeforeItIsForTheLenderByAnyClock() {
         assertThat(cutOffWithAllLent(new Leasing(4000 * MS, 3000 * MS, 0.25))).isEmpty();
-        assertThat(cutOffWithAllLent(new Leasing(4000 * MS, 3000 * MS, 0))).as("without that guard").isNotEmpty();
+        assertThat(cutOffWithAllLent(new Leasing(4000 * MS, 3000 * MS, 0)))
+                .as("without that guard")
+                .isNotEmpty();
     }
 
     @Test
@@ -150,7 +169,9 @@
         assertThat(got[0]).as("of 60 a second, 6 its own").isGreaterThan(250);
         assertThat(m.instance(0).parts(0)).isGreaterThan(24);
         m.until(24 * SECOND);
-        assertThat(m.instance(0).parts(0)).as("given back when it wants them no more").isLessThanOrEqualTo(6);
+        assertThat(m.instance(0).parts(0))
+                .as("given back when it wants them no more")
+                .isLessThanOrEqualTo(6);
         assertThat(m.parts(0)).isEqualTo(60);
         assertThat(m.parts(1)).isEqualTo(24);
     }
@@ -205,13 +226,19 @@
         }
         m.instance(17).kill();
         m.until(37 * SECOND); // a round of asking, a few who look for themselves, and the news of it
-        long know = m.instances().stream().filter(i -> i.alive() && i.membership().standing(17) == Standing.GONE).count();
+        long know = m.instances().stream()
+                .filter(i -> i.alive() && i.membership().standing(17) == Standing.GONE)
+                .count();
         assertThat(know).isGreaterThan(295);
         m.until(60 * SECOND);
         for (int x = 0; x < 300; x++) {
             int of = x;
-            long wrong = m.instances().stream().filter(i -> i.alive() && i.membership().standing(of) == Standing.GONE).count();
-            assertThat(of == 17 || wrong < 3).as("n%d is taken for dead by %d", of, wrong).isTrue();
+            long wrong = m.instances().stream()
+                    .filter(i -> i.alive() && i.membership().standing(of) == Standing.GONE)
+                    .count();
+            assertThat(of == 17 || wrong < 3)
+                    .as("n%d is taken for dead by %d", of, wrong)
+                    .isTrue();
         }
     }
 
--- a/tools/src/test/java/ploverdale/tools/lab/ReplicaGuardsTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/ReplicaGuardsTest.java
@@ -14,16 +14,30 @@
 /** With each guard of what is kept taken out in turn, the days of faults break promises: the search can fail. */
 class ReplicaGuardsTest {
     @ParameterizedTest
-    @CsvSource(delimiterString = " -> ", value = {
-        "Keepers.java -> return copies / 2 + 1; -> return 1;",
-        "Replicas.java -> Math.max(store.blank(), Math.min(startedAt, missed)) -> store.blank()",
-        "Replicas.java -> !mayKnowAll || !free -> !free",
-        "Replicas.java -> f.isFreeBut(claim) && f.hasRoom(claim) -> (f.claims().containsKey(claim) || f.free())"})
+    @CsvSource(
+            delimiterString = " -> ",
+            value = {
+                "Keepers.java -> return copies / 2 + 1; -> return 1;",
+                "Replicas.java -> Math.max(store.blank(), Math.min(startedAt, missed)) -> store.blank()",
+                "Replicas.java -> !mayKnowAll || !free -> !free",
+                "Replicas.java -> f.isFreeBut(claim) && f.hasRoom(claim) -> (f.claims().containsKey(claim) || f.free())"
+            })
     void withoutOnePromisesBreak(String file, String guard, String instead) throws Exception {
         try (MutationCheck none = MutationCheck.of(Launch.found(List.of()), "replica/" + file, guard, instead)) {
-            Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                    none.classes() + File.pathSeparator + System.getProperty("java.class.path"), "ploverdale.tools.Main", "lab",
-                    "replicas", "--seed", "1", "--seeds", "4").redirectErrorStream(true).start();
+            Process p = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-cp",
+                            none.classes() + File.pathSeparator + System.getProperty("java.class.path"),
+                            "ploverdale.tools.Main",
+                            "lab",
+                            "replicas",
+                            "--seed",
+                            "1",
+                            "--seeds",
+                            "4")
+                    .redirectErrorStream(true)
+                    .start();
             String told = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             System.out.println(guard + " out: " + told);
             assertThat(p.waitFor()).as(told).isEqualTo(1);
--- a/tools/src/test/java/ploverdale/tools/lab/ReplicaModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/ReplicaModelTest.java
@@ -10,8 +10,8 @@
 import ploverdale.replica.Keeping;
 import ploverdale.replica.Replicas;
 import ploverdale.replica.Replicas.End;
-import ploverdale.tools.lab.ReplicaTrial.CaughtUp;
 import ploverdale.tools.lab.ReplicaModel.TestCluster;
+import ploverdale.tools.lab.ReplicaTrial.CaughtUp;
 
 /** Replicated state in simulated time, through faults by chance; what clients were promised is held from outside. */
 class ReplicaModelTest {
@@ -19,7 +19,8 @@
     private static final long SECOND = 1000 * MS;
 
     private static ReplicaModel model(int gateways, int copies, double loss, long seed) {
-        return new ReplicaModel(new TestCluster(gateways, ReplicaTrial.keeping(copies), 0.05, loss, 0.05, 10 * MS, 200_000), seed);
+        return new ReplicaModel(
+                new TestCluster(gateways, ReplicaTrial.keeping(copies), 0.05, loss, 0.05, 10 * MS, 200_000), seed);
     }
 
     @Test
@@ -81,7 +82,9 @@
         m.until(from + 1500 * MS);
         m.submits(0, "w", false, 100 * MS, true, e -> ends[3] = e);
         m.until(from + 2 * SECOND);
-        assertThat(ends).containsExactly(End.GRANTED.ordinal(), End.IN_DOUBT.ordinal(), End.GRANTED.ordinal(), End.RAN.ordinal());
+        assertThat(ends)
+                .containsExactly(
+                        End.GRANTED.ordinal(), End.IN_DOUBT.ordinal(), End.GRANTED.ordinal(), End.RAN.ordinal());
     }
 
     @Test
@@ -111,7 +114,8 @@
         long[] wall = {17_000_000_000_000L};
         Replicas one = new Replicas(0, 1, 1, ReplicaTrial.keeping(1), new SplittableRandom(1), () -> wall[0]);
         Packing none = new Packing(1000, 0);
-        long arrived = wall[0] - SECOND; // its client may have submitted it elsewhere since, and the keepers' copies may be gone
+        long arrived = wall[0]
+                - SECOND; // its client may have submitted it elsewhere since, and the keepers' copies may be gone
         wall[0] += SECOND;
         one.claims(0, Replicas.key(false, "w"), true, arrived, none);
         one.claims(0, Replicas.key(false, "v"), true, wall[0], none);
@@ -129,7 +133,8 @@
 
     @Test
     void twoHundredThousandSessionsTakeLessThanAThirdOfWhatAGatewayMayTake() {
-        Replicas one = new Replicas(0, 1, 1, ReplicaTrial.keeping(1), new SplittableRandom(1), () -> 17_000_000_000_000L);
+        Replicas one =
+                new Replicas(0, 1, 1, ReplicaTrial.keeping(1), new SplittableRandom(1), () -> 17_000_000_000_000L);
         Packing none = new Packing(1000, 0);
         System.gc();
         long before = used();
@@ -160,6 +165,8 @@
         }
         one.asks(0, Replicas.key(true, "s0"), none);
         assertThat(one.size()).isEqualTo(100);
-        assertThat(one.done().get(0).position()).as("s0 was written then, or before").isGreaterThanOrEqualTo(wall[0] - 299);
+        assertThat(one.done().get(0).position())
+                .as("s0 was written then, or before")
+                .isGreaterThanOrEqualTo(wall[0] - 299);
     }
 }
--- a/tools/src/test/java/ploverdale/tools/model/GroupModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/model/GroupModelTest.java
@@ -15,7 +15,11 @@
 class GroupModelTest {
     private static final Plan PLAN = new Plan(50, 3000, 5000, 2000, 4, 100, 0.25, 40_000, 2.5, 10_000, 20_000, 4);
     private final List<String> changes = new ArrayList<>();
-    private final GroupModel group = new GroupModel(PLAN, new SplittableRandom(1), List.of("p", "r1", "r2"), 100_000,
+    private final GroupModel group = new GroupModel(
+            PLAN,
+            new SplittableRandom(1),
+            List.of("p", "r1", "r2"),
+            100_000,
             (now, what) -> changes.add(now + " " + what));
 
     private Work write(long now, String server, String token) {
@@ -58,7 +62,8 @@
     void aWriteInHandWhenThePrimaryGoesSilentMayHaveRunButIsNotAnswered() {
         int ran = 0;
         for (int seed = 0; seed < 40; seed++) {
-            GroupModel g = new GroupModel(PLAN, new SplittableRandom(seed), List.of("p", "r"), 100_000, (now, what) -> { });
+            GroupModel g =
+                    new GroupModel(PLAN, new SplittableRandom(seed), List.of("p", "r"), 100_000, (now, what) -> {});
             Work w = g.comes(110_000, "p", "op", true, null);
             g.fault(110_001, "p", Fault.SILENT);
             Done d = g.ends(Math.max(w.doneAt(), 110_002), w);
@@ -81,7 +86,9 @@
         Work first = write(110_000, "p", "t");
         assertThat(group.ends(first.doneAt(), first).applied()).isTrue();
         Work again = write(115_000, "p", "t");
-        assertThat(group.ends(again.doneAt(), again)).extracting(Done::applied, Done::answered).containsExactly(false, true);
+        assertThat(group.ends(again.doneAt(), again))
+                .extracting(Done::applied, Done::answered)
+                .containsExactly(false, true);
         Work late = write(140_000, "p", "t");
         assertThat(group.ends(late.doneAt(), late).applied()).isTrue();
     }
--- a/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
@@ -48,7 +48,8 @@
             for (int k = 0; k < 4; k++) {
                 int from = i;
                 int to = k;
-                boolean across = IntStream.of(side).anyMatch(x -> x == from) != IntStream.of(side).anyMatch(x -> x == to);
+                boolean across = IntStream.of(side).anyMatch(x -> x == from)
+                        != IntStream.of(side).anyMatch(x -> x == to);
                 b.append(across ? at + " words n" + i + " n" + k + " " + weather + "\n" : "");
             }
         }
@@ -64,10 +65,14 @@
     @Test
     void twoHalvesThatTakeEachOtherForDeadHoldTheWholeAndOneInTenDatagramsIsEnoughToGoOn() throws Exception {
         BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
-        Shown s = play(out, "day seed=21 gateways=4 lasts=9000\n" + words(500, "loss:1", 0, 1) + words(5500, "loss:0.9", 0, 1)
-                + words(7500, "usual", 0, 1));
+        Shown s = play(
+                out,
+                "day seed=21 gateways=4 lasts=9000\n" + words(500, "loss:1", 0, 1) + words(5500, "loss:0.9", 0, 1)
+                        + words(7500, "usual", 0, 1));
         wholeHolds(out, s);
-        assertThat(s.log()).as("neither half has a majority of all keepers").anyMatch(l -> l.contains("falls to its floor"));
+        assertThat(s.log())
+                .as("neither half has a majority of all keepers")
+                .anyMatch(l -> l.contains("falls to its floor"));
     }
 
     @Test
@@ -91,11 +96,17 @@
         try {
             BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
             List<String> less = List.of("--fleet", half.toString());
-            Shown s = play(out, "day seed=23 gateways=4 lasts=6000\n1000 stop n0\n2500 go_on n0\n",
-                    Launch.found(List.of("--fleet", all.toString())).with("n2", less).with("n3", less));
+            Shown s = play(
+                    out,
+                    "day seed=23 gateways=4 lasts=6000\n1000 stop n0\n2500 go_on n0\n",
+                    Launch.found(List.of("--fleet", all.toString()))
+                            .with("n2", less)
+                            .with("n3", less));
             wholeHolds(out, s);
             assertThat(s.log()).anyMatch(l -> l.contains("another division"));
-            Shown old = play(new BudgetsRig.Out(WHOLE), "day seed=24 gateways=4 lasts=4000\n",
+            Shown old = play(
+                    new BudgetsRig.Out(WHOLE),
+                    "day seed=24 gateways=4 lasts=4000\n",
                     Launch.found(List.of("--fleet", all.toString())).with("n3", List.of()));
             assertThat(old.broken()).as(() -> String.join("\n", old.log())).isEmpty();
             assertThat(old.log()).as("it leaves their parcels unread").noneMatch(l -> l.contains("fault"));
@@ -108,10 +119,17 @@
     @Test
     void oneThatStartsAndHearsNobodyLeavesTheOthersServing() throws Exception {
         BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
-        Shown s = play(out, "day seed=26 gateways=4 lasts=9000\n" + IntStream.of(0, 2, 3).mapToObj(
-                i -> "100 words n" + i + " n1 loss:1\n").collect(Collectors.joining()) + "200 kill n1\n400 start n1\n");
+        Shown s = play(
+                out,
+                "day seed=26 gateways=4 lasts=9000\n"
+                        + IntStream.of(0, 2, 3)
+                                .mapToObj(i -> "100 words n" + i + " n1 loss:1\n")
+                                .collect(Collectors.joining())
+                        + "200 kill n1\n400 start n1\n");
         wholeHolds(out, s);
-        assertThat(s.readsAcked()).as(() -> s.figures() + "\n" + String.join("\n", s.log())).isGreaterThan(s.readsAsked() / 2);
+        assertThat(s.readsAcked())
+                .as(() -> s.figures() + "\n" + String.join("\n", s.log()))
+                .isGreaterThan(s.readsAsked() / 2);
     }
 
     /** One alone is asked and borrows all that the others have; then they are asked too, twice. */
@@ -119,7 +137,11 @@
         StringBuilder b = new StringBuilder("day seed=25 gateways=4 lasts=8000\n");
         for (int at : new int[] {1, 2500, 4500, 6500}) {
             for (int i = 1; i < 4; i++) {
-                b.append(at).append(" way n").append(i).append(" clients ").append(at == 2500 || at == 6500 ? "OPEN" : "SILENT")
+                b.append(at)
+                        .append(" way n")
+                        .append(i)
+                        .append(" clients ")
+                        .append(at == 2500 || at == 6500 ? "OPEN" : "SILENT")
                         .append('\n');
             }
         }
@@ -132,11 +154,16 @@
         Launch sound = Launch.found(List.of("--fleet", file.toString()));
         List<Double> all = List.of(250.0, 250.0, 250.0, 250.0);
         FaultSchedule day = FaultSchedule.read(othersWantTheirPartsBack());
-        try (MutationCheck none = MutationCheck.of(sound, "budgets/Leasing.java",
-                "(long) Math.ceil(lease * (1 + clocksApart) / (1 - clocksApart)) + 1", "lease / 20")) {
+        try (MutationCheck none = MutationCheck.of(
+                sound,
+                "budgets/Leasing.java",
+                "(long) Math.ceil(lease * (1 + clocksApart) / (1 - clocksApart)) + 1",
+                "lease / 20")) {
             BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
             Shown s = Fleet.play(day, new Shape(none.launch(sound), all, 5500, out));
-            assertThat(out.firstOver()).as(() -> out.most() + " out\n" + String.join("\n", s.log())).isNotNull();
+            assertThat(out.firstOver())
+                    .as(() -> out.most() + " out\n" + String.join("\n", s.log()))
+                    .isNotNull();
             BudgetsRig.Out with = new BudgetsRig.Out(WHOLE);
             wholeHolds(with, Fleet.play(day, new Shape(sound, all, 5500, with)));
         } finally {
@@ -161,7 +188,8 @@
                 6900 start n1
                 """);
         wholeHolds(out, s);
-        assertThat(s.log()).as("it was its estate's steward, and fell to its floor")
+        assertThat(s.log())
+                .as("it was its estate's steward, and fell to its floor")
                 .anyMatch(l -> l.contains("n0") && l.contains("has its whole share"))
                 .anyMatch(l -> l.contains("n0") && l.contains("falls to its floor"));
     }
--- a/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
@@ -17,9 +17,12 @@
     void whatIsAcceptedDuringAPauseIsAnswered() throws Exception {
         FaultSchedule day = Pauses.day(1);
         Shown s = Fleet.play(day, Pauses.shape(Launch.found(List.of())));
-        // A pause may fall into the some 20 microseconds between the last look at a connection and the end of its output:
+        // A pause may fall into the some 20 microseconds between the last look at a connection and the end of its
+        // output:
         // one op in some 25 such days is lost so, between two and seventeen a day where nothing is read before the end.
-        assertThat(s.broken().size()).as(() -> day.text() + s.broken() + "\n" + String.join("\n", s.log())).isLessThanOrEqualTo(1);
+        assertThat(s.broken().size())
+                .as(() -> day.text() + s.broken() + "\n" + String.join("\n", s.log()))
+                .isLessThanOrEqualTo(1);
         // A pause of the gateway is not taken for silence of its servers.
         assertThat(s.readsAcked()).as(s::figures).isGreaterThan(s.readsAsked() * 98 / 100);
         assertThat(s.writesAcked()).as(s::figures).isGreaterThan(s.writesAsked() * 98 / 100);
--- a/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
@@ -37,8 +37,14 @@
 
     private static Shown play(String day, List<String> more) throws Exception {
         FaultSchedule d = FaultSchedule.read(day);
-        return Fleet.play(d, new Shape(Launch.found(more), Collections.nCopies(d.gateways(), 5.0), 4500,
-                (op, server, now, comes) -> { }, CLOSE));
+        return Fleet.play(
+                d,
+                new Shape(
+                        Launch.found(more),
+                        Collections.nCopies(d.gateways(), 5.0),
+                        4500,
+                        (op, server, now, comes) -> {},
+                        CLOSE));
     }
 
     private static Shown kept(String day) throws Exception {
@@ -60,7 +66,9 @@
                 11000 kill n2
                 11100 start n2
                 """);
-        assertThat(s.log()).filteredOn(l -> l.contains("caught up with all others")).hasSizeGreaterThan(3);
+        assertThat(s.log())
+                .filteredOn(l -> l.contains("caught up with all others"))
+                .hasSizeGreaterThan(3);
     }
 
     @Test
