--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -20,7 +20,6 @@
 import org.HdrHistogram.Histogram;
 import ploverdale.net.LogicLoop.Clock;
 import ploverdale.tools.fleet.FaultSchedule.Step;
-import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.model.GroupModel;
 import ploverdale.tools.model.Plan;
@@ -48,91 +47,9 @@
     private static final long LAST_ANSWERS_MS = 4000;
     private static final long ALL_START_WITHIN_S = 60;
 
-    /**
-     * How it is played.
-     *
-     * @param opsPerSecond asked of each gateway, by number
-     * @param settlesMs between the moment at which all serve and the first op; the day begins with the first op
-     * @param roams how clients with sessions ask beside those, or null
-     * @param crowd of client connections at each gateway
-     */
-    public record Shape(
-            Launch launch,
-            List<Double> opsPerSecond,
-            long settlesMs,
-            TestCluster.Traffic traffic,
-            RoamingClients.Habit roams,
-            Crowd crowd) {
-        /** The same with as few connections as serve. */
-        public Shape(
-                Launch launch,
-                List<Double> opsPerSecond,
-                long settlesMs,
-                TestCluster.Traffic traffic,
-                RoamingClients.Habit roams) {
-            this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
-        }
-
-        /** The same without clients that roam. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic) {
-            this(launch, opsPerSecond, settlesMs, traffic, null);
-        }
-
-        /** The same with this crowd. */
-        public Shape with(Crowd others) {
-            return new Shape(launch, opsPerSecond, settlesMs, traffic, roams, others);
-        }
-
-        /** All gateways are asked as much, from the beginning. */
-        public static Shape even(Launch launch, int gateways, double opsPerSecond) {
-            return new Shape(launch, Collections.nCopies(gateways, opsPerSecond), 0, (op, server, now, comes) -> {});
-        }
-    }
-
-    /**
-     * How many connections clients hold at a gateway, and its descriptors.
-     *
-     * @param connections that its clients open and use in turn; 0: as few as serve
-     */
-    public record Crowd(int connections, int descriptors) {
-        /** As few as serve, and descriptors enough. */
-        public static final Crowd NONE = new Crowd(0, GatewayConfiguration.DESCRIPTORS);
-    }
-
-    /**
-     * What a day showed.
-     *
-     * @param late by how much answers came after their time, 0 for those in time, in microseconds
-     */
-    public record Shown(
-            FaultSchedule day,
-            List<Ledger.Broken> broken,
-            int ops,
-            int readsAsked,
-            int readsAcked,
-            int writesAsked,
-            int writesAcked,
-            List<Long> startsMs,
-            List<String> log,
-            RoamingClients roamers,
-            Histogram late) {
-        /** A line of figures. */
-        public String figures() {
-            return String.format(
-                    Locale.ROOT,
-                    "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms",
-                    ops,
-                    readsAcked,
-                    readsAsked,
-                    writesAcked,
-                    writesAsked,
-                    startsMs);
-        }
-    }
-
     private final Vertx vertx;
     private final FaultSchedule day;
-    private final Shape shape;
+    private final Workload shape;
     private final SplittableRandom chance;
     private final Ledger ledger = new Ledger(DRAIN_GRACE_MS * MS);
     private final TestCluster world;
@@ -148,7 +65,7 @@
     private LossyLink link;
     private RoamingClients roamers;
 
-    private Fleet(Vertx vertx, FaultSchedule day, Shape shape) {
+    private Fleet(Vertx vertx, FaultSchedule day, Workload shape) {
         this.vertx = vertx;
         this.day = day;
         this.shape = shape;
@@ -174,12 +91,12 @@
     }
 
     /** Plays a day; waits for its end. */
-    public static Shown play(FaultSchedule day, Shape shape) throws Exception {
+    public static FleetResult play(FaultSchedule day, Workload shape) throws Exception {
         Vertx vertx = Vertx.vertx(
                 new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         List<GatewayProcess> started = Collections.synchronizedList(new ArrayList<>());
         try {
-            Promise<Shown> done = Promise.promise();
+            Promise<FleetResult> done = Promise.promise();
             vertx.runOnContext(x -> {
                 Fleet fleet = new Fleet(vertx, day, shape);
                 fleet.play(started).onComplete(done);
@@ -200,7 +117,7 @@
         log.add(String.format(Locale.ROOT, "%9.3f %s %s", (System.nanoTime() - began) / 1e9, who, what));
     }
 
-    private Future<Shown> play(List<GatewayProcess> started) {
+    private Future<FleetResult> play(List<GatewayProcess> started) {
         Future<?> ready = world.servers()
                 .compose(x -> LossyLink.open(vertx, chance.split(), 0, day.gateways()))
                 .onSuccess(l -> link = l);
@@ -255,7 +172,7 @@
                 .map(x -> shown());
     }
 
-    private Shown shown() {
+    private FleetResult shown() {
         world.close();
         ways.values().forEach(FaultyLink::close);
         link.close();
@@ -270,7 +187,7 @@
         }
         List<Ledger.Broken> broken = ledger.close(Clock.now());
         broken.forEach(b -> note("ledger", b.toString()));
-        return new Shown(
+        return new FleetResult(
                 day,
                 broken,
                 ledger.ops(),
--- /dev/null
+++ b/tools/src/main/java/ploverdale/tools/fleet/FleetResult.java
@@ -0,0 +1,38 @@
+package ploverdale.tools.fleet;
+
+import java.util.List;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+import ploverdale.tools.ledger.Ledger;
+import ploverdale.tools.stand.RoamingClients;
+
+/**
+ * What came of a day.
+ *
+ * @param late by how much answers came after their time, 0 for those in time, in microseconds
+ */
+public record FleetResult(
+        FaultSchedule day,
+        List<Ledger.Broken> broken,
+        int ops,
+        int readsAsked,
+        int readsAcked,
+        int writesAsked,
+        int writesAcked,
+        List<Long> startsMs,
+        List<String> log,
+        RoamingClients roamers,
+        Histogram late) {
+    /** A line of figures. */
+    public String figures() {
+        return String.format(
+                Locale.ROOT,
+                "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms",
+                ops,
+                readsAcked,
+                readsAsked,
+                writesAcked,
+                writesAsked,
+                startsMs);
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/ploverdale/tools/fleet/Workload.java
@@ -0,0 +1,59 @@
+package ploverdale.tools.fleet;
+
+import java.util.Collections;
+import java.util.List;
+import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.stand.GatewayConfiguration;
+import ploverdale.tools.stand.RoamingClients;
+import ploverdale.tools.stand.TestCluster;
+
+/**
+ * What gateways are started with on a day, and what their clients ask of them.
+ *
+ * @param opsPerSecond asked of each gateway, by number
+ * @param settlesMs between the moment at which all serve and the first op; the day begins with the first op
+ * @param roams how clients with sessions ask beside those, or null
+ * @param crowd of client connections at each gateway
+ */
+public record Workload(
+        Launch launch,
+        List<Double> opsPerSecond,
+        long settlesMs,
+        TestCluster.Traffic traffic,
+        RoamingClients.Habit roams,
+        Crowd crowd) {
+    /** The same with as few connections as serve. */
+    public Workload(
+            Launch launch,
+            List<Double> opsPerSecond,
+            long settlesMs,
+            TestCluster.Traffic traffic,
+            RoamingClients.Habit roams) {
+        this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
+    }
+
+    /** The same without clients that roam. */
+    public Workload(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic) {
+        this(launch, opsPerSecond, settlesMs, traffic, null);
+    }
+
+    /** The same with this crowd. */
+    public Workload with(Crowd others) {
+        return new Workload(launch, opsPerSecond, settlesMs, traffic, roams, others);
+    }
+
+    /** All gateways are asked as much, from the beginning. */
+    public static Workload even(Launch launch, int gateways, double opsPerSecond) {
+        return new Workload(launch, Collections.nCopies(gateways, opsPerSecond), 0, (op, server, now, comes) -> {});
+    }
+
+    /**
+     * How many connections clients hold at a gateway, and its descriptors.
+     *
+     * @param connections that its clients open and use in turn; 0: as few as serve
+     */
+    public record Crowd(int connections, int descriptors) {
+        /** As few as serve, and descriptors enough. */
+        public static final Crowd NONE = new Crowd(0, GatewayConfiguration.DESCRIPTORS);
+    }
+}
--- a/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
@@ -14,10 +14,10 @@
 import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.ScheduleGenerator;
+import ploverdale.tools.fleet.Workload;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -84,8 +84,8 @@
             FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
             runs.add(pool.submit(() -> {
                 Out out = new Out(WHOLE);
-                Shown shown = Fleet.play(day, shape(with, out));
-                Shown plain = Fleet.play(day, shape(without, new Out(WHOLE)));
+                FleetResult shown = Fleet.play(day, shape(with, out));
+                FleetResult plain = Fleet.play(day, shape(without, new Out(WHOLE)));
                 synchronized (sums) {
                     add(sums, 0, shown);
                     add(sums, 4, plain);
@@ -124,15 +124,15 @@
         return checks;
     }
 
-    private static Shape shape(Launch launch, TestCluster.Traffic traffic) {
+    private static Workload shape(Launch launch, TestCluster.Traffic traffic) {
         List<Double> rates = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
             rates.add(i == 0 ? MORE * OPS_PER_SECOND : OPS_PER_SECOND);
         }
-        return new Shape(launch, rates, SETTLES_MS, traffic);
+        return new Workload(launch, rates, SETTLES_MS, traffic);
     }
 
-    private static void add(int[] sums, int from, Shown s) {
+    private static void add(int[] sums, int from, FleetResult s) {
         sums[from] += s.readsAsked();
         sums[from + 1] += s.readsAcked();
         sums[from + 2] += s.writesAsked();
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -9,11 +9,11 @@
 import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.ScheduleShrinker;
+import ploverdale.tools.fleet.Workload;
 
 /**
  * Gateways as processes through drawn days of kills, stops, restarts, cut and slow ways and a silent server. A day on which
@@ -39,7 +39,7 @@
         List<Future<List<Check>>> runs = new ArrayList<>();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
             FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
-            runs.add(pool.submit(() -> List.of(check(day, Shape.even(launch, GATEWAYS, OPS_PER_SECOND)))));
+            runs.add(pool.submit(() -> List.of(check(day, Workload.even(launch, GATEWAYS, OPS_PER_SECOND)))));
         }
         List<Check> checks = new ArrayList<>();
         for (Future<List<Check>> r : runs) {
@@ -54,8 +54,8 @@
     }
 
     /** One day, and the shortest of its like that fails, too, if it does. */
-    static Check check(FaultSchedule day, Shape shape) throws Exception {
-        Shown shown = Fleet.play(day, shape);
+    static Check check(FaultSchedule day, Workload shape) throws Exception {
+        FleetResult shown = Fleet.play(day, shape);
         String name = "seed " + day.seed() + ", " + day.steps().size() + " steps: no rule broken";
         if (shown.broken().isEmpty()) {
             return new Check(name, shown.figures(), true);
@@ -70,7 +70,7 @@
                 false);
     }
 
-    private static boolean breaks(FaultSchedule day, Shape shape) {
+    private static boolean breaks(FaultSchedule day, Workload shape) {
         try {
             return !Fleet.play(day, shape).broken().isEmpty();
         } catch (Exception e) {
--- a/tools/src/main/java/ploverdale/tools/rig/Pauses.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -15,10 +15,10 @@
 import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.FaultSchedule.What;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Crowd;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.Workload;
+import ploverdale.tools.fleet.Workload.Crowd;
 
 /**
  * Gateways as processes, each paused again and again for a part of a second (as on a machine that gives them too little
@@ -65,8 +65,8 @@
         return checks;
     }
 
-    static Shape shape(Launch launch) {
-        return Shape.even(launch, GATEWAYS, OPS_PER_SECOND).with(CROWD);
+    static Workload shape(Launch launch) {
+        return Workload.even(launch, GATEWAYS, OPS_PER_SECOND).with(CROWD);
     }
 
     /** A day of that seed, on which each gateway is paused in turn. */
@@ -85,7 +85,7 @@
         return new FaultSchedule(seed, GATEWAYS, LASTS_MS, steps);
     }
 
-    private static Check check(Shown s) {
+    private static Check check(FleetResult s) {
         Histogram late = s.late();
         String figures = s.figures()
                 + String.format(
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -17,10 +17,10 @@
 import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.FaultSchedule.What;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.ScheduleGenerator;
+import ploverdale.tools.fleet.Workload;
 import ploverdale.tools.stand.RoamingClients;
 
 /**
@@ -61,8 +61,8 @@
         return new FaultSchedule(seed, gateways, LASTS_MS, steps);
     }
 
-    private static Shape shape(Launch launch, FaultSchedule day, RoamingClients.Habit habit) {
-        return new Shape(
+    private static Workload shape(Launch launch, FaultSchedule day, RoamingClients.Habit habit) {
+        return new Workload(
                 launch,
                 Collections.nCopies(day.gateways(), OPS_PER_SECOND),
                 SETTLES_MS,
@@ -78,10 +78,10 @@
             Launch with = Launch.found(List.of("--fleet", file.toString()));
             Launch without = Launch.found(List.of());
             ExecutorService pool = Executors.newFixedThreadPool(atATime);
-            List<Future<Shown[]>> runs = new ArrayList<>();
+            List<Future<FleetResult[]>> runs = new ArrayList<>();
             for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
                 FaultSchedule day = day(seed);
-                runs.add(pool.submit(() -> new Shown[] {
+                runs.add(pool.submit(() -> new FleetResult[] {
                     Fleet.play(day, shape(with, day, HABIT)), Fleet.play(day, shape(without, day, HABIT))
                 }));
             }
@@ -89,8 +89,8 @@
             int kept = 0;
             int broken = 0;
             int again = 0;
-            for (Future<Shown[]> r : runs) {
-                Shown[] both = r.get();
+            for (Future<FleetResult[]> r : runs) {
+                FleetResult[] both = r.get();
                 checks.add(check(both[0], both[1]));
                 sessions += both[0].roamers().sessions();
                 again += both[0].roamers().submittedAgain();
@@ -114,7 +114,7 @@
         return checks;
     }
 
-    private static Check check(Shown s, Shown plain) {
+    private static Check check(FleetResult s, FleetResult plain) {
         int acked = s.roamers().sessions() == 0
                 ? 0
                 : (int) (s.roamers().writes().getTotalCount()
@@ -142,7 +142,7 @@
         boolean holds = true;
         try {
             for (Launch l : List.of(without, sendsOn, waits)) {
-                Shown s = Fleet.play(calm, shape(l, calm, new RoamingClients.Habit(1000, 220, false)));
+                FleetResult s = Fleet.play(calm, shape(l, calm, new RoamingClients.Habit(1000, 220, false)));
                 b.append(l == without ? "without" : l == sendsOn ? "; kept" : "; acks wait")
                         .append(": writes ")
                         .append(times(s.roamers().writes()))
--- a/tools/src/main/java/ploverdale/tools/rig/Tier.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Tier.java
@@ -27,6 +27,7 @@
     private static final double OPS = 900;
     private static final long BOUND = 500 * MS;
     private static final long LENGTH = 60_000 * MS;
+    private static final double SECONDS = LENGTH / (1000.0 * MS);
     private static final long STEP = 20 * MS;
     private static final long REPLACED_EVERY = 500 * MS;
     private static final long SILENT_AT = 20_000 * MS;
@@ -49,6 +50,12 @@
     private long bytes;
     private int longest;
     private long startBytes;
+    private long order;
+    private double opsDue;
+    private ServerId lost; // once one has gone silent
+    private long reached = -1; // after how many ms that is known to nearly all
+    private long looked;
+    private long fresh;
 
     private Tier(long seed) {
         chance = new SplittableRandom(seed);
@@ -65,108 +72,22 @@
 
     private void run(long seed, List<Check> checks) {
         long heapBefore = heap();
-        for (int i = 0; i < SERVERS; i++) {
-            servers.add(new ServerId("s-" + named++));
-        }
-        for (int i = 0; i < INSTANCES; i++) {
-            Map<ServerId, Word> mine = new HashMap<>();
-            Hearsay h = new Hearsay(i, INSTANCES, OPS, BOUND, chance.split(), id -> mine.getOrDefault(id, Word.NONE));
-            servers.forEach(h::listed);
-            h.starts(START);
-            all.add(h);
-            known.add(mine);
-        }
+        start();
         long cpu = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
-        long fresh = 0;
-        long looked = 0;
-        long reached = -1;
         long heapHalf = 0;
-        long order = 0;
-        ServerId lost = null;
-        double opsDue = 0;
         for (long now = START; now < START + LENGTH; now += STEP) {
-            long passed = now - START;
-            if (passed == SILENT_AT) {
-                lost = servers.get(1);
-                Word w = new Word(
-                        Role.UNKNOWN,
-                        Report.UNTOLD,
-                        Report.UNTOLD,
-                        Report.UNTOLD,
-                        Report.UNTOLD,
-                        now,
-                        Report.UNTOLD,
-                        Report.UNTOLD);
-                known.get(3).merge(lost, w, Word::join);
-                all.get(3).learnt(now, lost);
-            }
-            for (opsDue += OPS * STEP / (1000.0 * MS); opsDue >= 1; opsDue--) {
-                op(now, lost);
-            }
-            if (passed % REPLACED_EVERY == 0 && passed > 0) {
-                replace(lost);
-            }
-            while (!ways.isEmpty() && ways.peek().at() <= now) {
-                OnItsWay w = ways.poll();
-                int to = w.letter().peer();
-                Hearsay.Heard h = all.get(to).hears(now, w.from(), w.letter().bytes());
-                h.words().forEach((id, x) -> known.get(to).merge(id, x, Word::join));
-                order = send(now, to, h.letters(), order);
-            }
-            for (int i = 0; i < INSTANCES; i++) {
-                order = send(now, i, all.get(i).due(now), order);
-            }
-            startBytes = passed == 2000 * MS ? bytes : startBytes;
-            if (lost != null && reached < 0) {
-                ServerId l = lost;
-                long silent = known.stream()
-                        .filter(m -> m.getOrDefault(l, Word.NONE).silent())
-                        .count();
-                reached = silent >= INSTANCES * TOLD ? (passed - SILENT_AT) / MS : -1;
-            }
-            if (passed % (100 * MS) == 0 && passed > 5000 * MS) {
-                for (Map<ServerId, Word> m : known) {
-                    for (ServerId id : servers) {
-                        if (!id.equals(lost)) {
-                            looked++;
-                            fresh += now - m.getOrDefault(id, Word.NONE).position() <= BOUND ? 1 : 0;
-                        }
-                    }
-                }
-            }
-            heapHalf = passed == LENGTH / 2 ? heap() : heapHalf;
+            step(now);
+            heapHalf = now - START == LENGTH / 2 ? heap() : heapHalf;
         }
         double cpuMs = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpu) / 1e6;
         long heap = heap();
-        double seconds = LENGTH / (1000.0 * MS);
-        double share = fresh / (double) looked;
         String name = "seed " + seed + ": ";
-        checks.add(new Check(
-                name + "no datagram over 256 bytes",
-                letters + " datagrams, the longest " + longest + " bytes",
-                longest <= 256));
-        checks.add(new Check(
-                name + "a silent server is known to 97 of 100 within a second",
-                reached + " ms",
-                reached >= 0 && reached <= 1000));
-        checks.add(new Check(
-                name + "positions within the bound at most instances",
-                String.format(Locale.ROOT, "%.3f of all pairs of instance and server", share),
-                share > 0.5));
-        checks.add(new Check(
-                name + "what words cost",
-                String.format(
-                        Locale.ROOT,
-                        "%.0f bytes an instance and second, %.2f full messages an op; %.0f bytes an instance in its first 2 s",
-                        bytes / seconds / INSTANCES,
-                        bytes / 256.0 / (OPS * seconds),
-                        startBytes / (double) INSTANCES),
-                bytes / 256.0 / (OPS * seconds) < 1));
+        checks.addAll(wordChecks(name));
         checks.add(new Check(
                 name + "CPU",
                 String.format(
-                        Locale.ROOT, "%.2f ms an instance and second, stand-ins included", cpuMs / seconds / INSTANCES),
-                cpuMs / seconds / INSTANCES < 20));
+                        Locale.ROOT, "%.2f ms an instance and second, stand-ins included", cpuMs / SECONDS / INSTANCES),
+                cpuMs / SECONDS / INSTANCES < 20));
         checks.add(new Check(
                 name + "memory does not grow with servers seen",
                 String.format(
@@ -178,6 +99,111 @@
                 heap - heapBefore < 1.3 * (heapHalf - heapBefore) + (1 << 20)));
     }
 
+    private void start() {
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(new ServerId("s-" + named++));
+        }
+        for (int i = 0; i < INSTANCES; i++) {
+            Map<ServerId, Word> mine = new HashMap<>();
+            Hearsay h = new Hearsay(i, INSTANCES, OPS, BOUND, chance.split(), id -> mine.getOrDefault(id, Word.NONE));
+            servers.forEach(h::listed);
+            h.starts(START);
+            all.add(h);
+            known.add(mine);
+        }
+    }
+
+    private void step(long now) {
+        long passed = now - START;
+        if (passed == SILENT_AT) {
+            goesSilent(now);
+        }
+        for (opsDue += OPS * STEP / (1000.0 * MS); opsDue >= 1; opsDue--) {
+            op(now, lost);
+        }
+        if (passed % REPLACED_EVERY == 0 && passed > 0) {
+            replace(lost);
+        }
+        deliver(now);
+        for (int i = 0; i < INSTANCES; i++) {
+            order = send(now, i, all.get(i).due(now), order);
+        }
+        startBytes = passed == 2000 * MS ? bytes : startBytes;
+        if (lost != null && reached < 0) {
+            long silent = known.stream()
+                    .filter(m -> m.getOrDefault(lost, Word.NONE).silent())
+                    .count();
+            reached = silent >= INSTANCES * TOLD ? (passed - SILENT_AT) / MS : -1;
+        }
+        if (passed % (100 * MS) == 0 && passed > 5000 * MS) {
+            countFresh(now);
+        }
+    }
+
+    private void goesSilent(long now) {
+        lost = servers.get(1);
+        Word silent = new Word(
+                Role.UNKNOWN,
+                Report.UNTOLD,
+                Report.UNTOLD,
+                Report.UNTOLD,
+                Report.UNTOLD,
+                now,
+                Report.UNTOLD,
+                Report.UNTOLD);
+        known.get(3).merge(lost, silent, Word::join);
+        all.get(3).learnt(now, lost);
+    }
+
+    private void deliver(long now) {
+        while (!ways.isEmpty() && ways.peek().at() <= now) {
+            OnItsWay w = ways.poll();
+            int to = w.letter().peer();
+            Hearsay.Heard h = all.get(to).hears(now, w.from(), w.letter().bytes());
+            h.words().forEach((id, x) -> known.get(to).merge(id, x, Word::join));
+            order = send(now, to, h.letters(), order);
+        }
+    }
+
+    private void countFresh(long now) {
+        for (Map<ServerId, Word> m : known) {
+            for (ServerId id : servers) {
+                if (!id.equals(lost)) {
+                    looked++;
+                    fresh += now - m.getOrDefault(id, Word.NONE).position() <= BOUND ? 1 : 0;
+                }
+            }
+        }
+    }
+
+    /** What holds of the words that were told, and what they cost. */
+    private List<Check> wordChecks(String name) {
+        double share = fresh / (double) looked;
+        double messages = bytes / 256.0 / (OPS * SECONDS);
+        return List.of(
+                new Check(
+                        name + "no datagram over 256 bytes",
+                        letters + " datagrams, the longest " + longest + " bytes",
+                        longest <= 256),
+                new Check(
+                        name + "a silent server is known to 97 of 100 within a second",
+                        reached + " ms",
+                        reached >= 0 && reached <= 1000),
+                new Check(
+                        name + "positions within the bound at most instances",
+                        String.format(Locale.ROOT, "%.3f of all pairs of instance and server", share),
+                        share > 0.5),
+                new Check(
+                        name + "what words cost",
+                        String.format(
+                                Locale.ROOT,
+                                "%.0f bytes an instance and second, %.2f full messages an op; %.0f bytes an instance in its first 2 s",
+                                bytes / SECONDS / INSTANCES,
+                                messages,
+                                startBytes / (double) INSTANCES),
+                        messages < 1));
+    }
+
     private void op(long now, ServerId lost) {
         int at = chance.nextInt(INSTANCES);
         ServerId id = servers.get(chance.nextInt(servers.size()));
--- a/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
+++ b/tools/src/main/java/ploverdale/tools/rig/WarmStart.java
@@ -94,41 +94,7 @@
         }
         pool.shutdown();
         for (Words w : Words.values()) {
-            List<Outcome> os = all.get(w);
-            List<Ledger.Broken> broken =
-                    os.stream().flatMap(o -> o.broken().stream()).toList();
-            checks.add(new Check(
-                    w + ": no rule broken",
-                    os.stream().mapToInt(Outcome::ops).sum() + " ops, broken " + broken.size()
-                            + (broken.isEmpty() ? "" : ", first " + broken.get(0)),
-                    broken.isEmpty()));
-            int old = os.stream().mapToInt(Outcome::writesToOld).sum();
-            checks.add(new Check(w + ": no write to the old primary", old + " writes", old == 0));
-            Histogram reads = new Histogram(60_000_000, 3);
-            Histogram writes = new Histogram(60_000_000, 3);
-            os.forEach(o -> {
-                reads.add(o.readLatency());
-                writes.add(o.writeLatency());
-            });
-            checks.add(new Check(
-                    w + ": first " + WINDOW_MS + " ms of the new instance",
-                    String.format(
-                            Locale.ROOT,
-                            "writes acked %.0f of %d (mean %.0f ms), reads acked %.0f of %d (mean %.1f ms, p99 %.1f ms), "
-                                    + "ready after %.0f ms, %d datagrams",
-                            share(os, true) * asked(os, true),
-                            asked(os, true),
-                            writes.getMean() / 1000,
-                            share(os, false) * asked(os, false),
-                            asked(os, false),
-                            reads.getMean() / 1000,
-                            reads.getValueAtPercentile(99) / 1000.0,
-                            os.stream()
-                                    .mapToLong(Outcome::readyAfterMs)
-                                    .average()
-                                    .orElse(0),
-                            os.stream().mapToInt(Outcome::datagrams).sum()),
-                    true));
+            checks.addAll(checks(w, all.get(w)));
         }
         double lost = share(all.get(Words.LOSS_100), false) - share(all.get(Words.OFF), false);
         checks.add(new Check(
@@ -138,6 +104,43 @@
         return checks;
     }
 
+    /** What holds of all runs with these words, and their figures. */
+    private static List<Check> checks(Words w, List<Outcome> os) {
+        List<Check> checks = new ArrayList<>();
+        List<Ledger.Broken> broken =
+                os.stream().flatMap(o -> o.broken().stream()).toList();
+        checks.add(new Check(
+                w + ": no rule broken",
+                os.stream().mapToInt(Outcome::ops).sum() + " ops, broken " + broken.size()
+                        + (broken.isEmpty() ? "" : ", first " + broken.get(0)),
+                broken.isEmpty()));
+        int old = os.stream().mapToInt(Outcome::writesToOld).sum();
+        checks.add(new Check(w + ": no write to the old primary", old + " writes", old == 0));
+        Histogram reads = new Histogram(60_000_000, 3);
+        Histogram writes = new Histogram(60_000_000, 3);
+        os.forEach(o -> {
+            reads.add(o.readLatency());
+            writes.add(o.writeLatency());
+        });
+        checks.add(new Check(
+                w + ": first " + WINDOW_MS + " ms of the new instance",
+                String.format(
+                        Locale.ROOT,
+                        "writes acked %.0f of %d (mean %.0f ms), reads acked %.0f of %d (mean %.1f ms, p99 %.1f ms), "
+                                + "ready after %.0f ms, %d datagrams",
+                        share(os, true) * asked(os, true),
+                        asked(os, true),
+                        writes.getMean() / 1000,
+                        share(os, false) * asked(os, false),
+                        asked(os, false),
+                        reads.getMean() / 1000,
+                        reads.getValueAtPercentile(99) / 1000.0,
+                        os.stream().mapToLong(Outcome::readyAfterMs).average().orElse(0),
+                        os.stream().mapToInt(Outcome::datagrams).sum()),
+                true));
+        return checks;
+    }
+
     private static int asked(List<Outcome> os, boolean writes) {
         return os.stream()
                 .mapToInt(o -> writes ? o.writesAsked() : o.readsAsked())
--- a/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
+++ b/tools/src/test/java/ploverdale/tools/fleet/FleetTest.java
@@ -8,25 +8,23 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 
 /** Real gateways as processes, short days. */
 @Timeout(180)
 class FleetTest {
-    private static Shown play(String day) throws Exception {
+    private static FleetResult play(String day) throws Exception {
         FaultSchedule d = FaultSchedule.read(day);
-        return Fleet.play(d, Shape.even(Launch.found(List.of()), d.gateways(), 40));
+        return Fleet.play(d, Workload.even(Launch.found(List.of()), d.gateways(), 40));
     }
 
-    private static String all(Shown s) {
+    private static String all(FleetResult s) {
         return s.day().text() + String.join("\n", s.log());
     }
 
     @Test
     void killsStopsRestartsAndCutWaysBreakNoRule() throws Exception {
-        Shown s = play("""
+        FleetResult s = play("""
                 day seed=5 gateways=3 lasts=9000
                 500 kill n0
                 900 way n1 s-second SILENT
@@ -45,7 +43,7 @@
 
     @Test
     void aSlowWayFromItsClientsIsNotAGatewaysFault() throws Exception {
-        Shown s = play("""
+        FleetResult s = play("""
                 day seed=6 gateways=2 lasts=2500
                 500 way n0 clients delay:2000
                 """);
--- a/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/BudgetsRigTest.java
@@ -12,10 +12,10 @@
 import org.junit.jupiter.api.Timeout;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.MutationCheck;
+import ploverdale.tools.fleet.Workload;
 
 /** Budgets among processes: what is out is counted at the servers. */
 @Timeout(180)
@@ -28,7 +28,7 @@
         return Files.writeString(Files.createTempFile("fleet", ".json"), "{\"sends_at_server\":" + whole + TIMES);
     }
 
-    private static Shown play(BudgetsRig.Out out, String day) throws Exception {
+    private static FleetResult play(BudgetsRig.Out out, String day) throws Exception {
         Path file = file(WHOLE);
         try {
             return play(out, day, Launch.found(List.of("--fleet", file.toString())));
@@ -37,8 +37,8 @@
         }
     }
 
-    private static Shown play(BudgetsRig.Out out, String day, Launch launch) throws Exception {
-        return Fleet.play(FaultSchedule.read(day), new Shape(launch, List.of(250.0, 20.0, 20.0, 20.0), 5500, out));
+    private static FleetResult play(BudgetsRig.Out out, String day, Launch launch) throws Exception {
+        return Fleet.play(FaultSchedule.read(day), new Workload(launch, List.of(250.0, 20.0, 20.0, 20.0), 5500, out));
     }
 
     /** All ways of words between these and the others, both directions. */
@@ -56,7 +56,7 @@
         return b.toString();
     }
 
-    private static void wholeHolds(BudgetsRig.Out out, Shown s) {
+    private static void wholeHolds(BudgetsRig.Out out, FleetResult s) {
         assertThat(s.broken()).as(() -> String.join("\n", s.log())).isEmpty();
         assertThat(out.firstOver()).as(() -> String.join("\n", s.log())).isNull();
         assertThat(out.most()).as("parts were spent").isPositive();
@@ -65,7 +65,7 @@
     @Test
     void twoHalvesThatTakeEachOtherForDeadHoldTheWholeAndOneInTenDatagramsIsEnoughToGoOn() throws Exception {
         BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
-        Shown s = play(
+        FleetResult s = play(
                 out,
                 "day seed=21 gateways=4 lasts=9000\n" + words(500, "loss:1", 0, 1) + words(5500, "loss:0.9", 0, 1)
                         + words(7500, "usual", 0, 1));
@@ -96,7 +96,7 @@
         try {
             BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
             List<String> less = List.of("--fleet", half.toString());
-            Shown s = play(
+            FleetResult s = play(
                     out,
                     "day seed=23 gateways=4 lasts=6000\n1000 stop n0\n2500 go_on n0\n",
                     Launch.found(List.of("--fleet", all.toString()))
@@ -104,7 +104,7 @@
                             .with("n3", less));
             wholeHolds(out, s);
             assertThat(s.log()).anyMatch(l -> l.contains("another division"));
-            Shown old = play(
+            FleetResult old = play(
                     new BudgetsRig.Out(WHOLE),
                     "day seed=24 gateways=4 lasts=4000\n",
                     Launch.found(List.of("--fleet", all.toString())).with("n3", List.of()));
@@ -119,7 +119,7 @@
     @Test
     void oneThatStartsAndHearsNobodyLeavesTheOthersServing() throws Exception {
         BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
-        Shown s = play(
+        FleetResult s = play(
                 out,
                 "day seed=26 gateways=4 lasts=9000\n"
                         + IntStream.of(0, 2, 3)
@@ -160,12 +160,12 @@
                 "(long) Math.ceil(lease * (1 + clocksApart) / (1 - clocksApart)) + 1",
                 "lease / 20")) {
             BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
-            Shown s = Fleet.play(day, new Shape(none.launch(sound), all, 5500, out));
+            FleetResult s = Fleet.play(day, new Workload(none.launch(sound), all, 5500, out));
             assertThat(out.firstOver())
                     .as(() -> out.most() + " out\n" + String.join("\n", s.log()))
                     .isNotNull();
             BudgetsRig.Out with = new BudgetsRig.Out(WHOLE);
-            wholeHolds(with, Fleet.play(day, new Shape(sound, all, 5500, with)));
+            wholeHolds(with, Fleet.play(day, new Workload(sound, all, 5500, with)));
         } finally {
             Files.delete(file);
         }
@@ -174,7 +174,7 @@
     @Test
     void theOneWithAllTheTrafficIsStoppedKilledAndCutOffAndTheWholeHolds() throws Exception {
         BudgetsRig.Out out = new BudgetsRig.Out(WHOLE);
-        Shown s = play(out, """
+        FleetResult s = play(out, """
                 day seed=11 gateways=4 lasts=9000
                 1500 stop n0
                 3500 go_on n0
--- a/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Timeout;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 
 /** Real gateways as processes that are paused, short days. */
@@ -16,7 +16,7 @@
     @Test
     void whatIsAcceptedDuringAPauseIsAnswered() throws Exception {
         FaultSchedule day = Pauses.day(1);
-        Shown s = Fleet.play(day, Pauses.shape(Launch.found(List.of())));
+        FleetResult s = Fleet.play(day, Pauses.shape(Launch.found(List.of())));
         // A pause may fall into the some 20 microseconds between the last look at a connection and the end of its
         // output:
         // one op in some 25 such days is lost so, between two and seventeen a day where nothing is read before the end.
--- a/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.api.Timeout;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.Workload;
 import ploverdale.tools.ledger.Ledger.Rule;
 import ploverdale.tools.stand.RoamingClients;
 
@@ -35,11 +35,11 @@
         Files.delete(file);
     }
 
-    private static Shown play(String day, List<String> more) throws Exception {
+    private static FleetResult play(String day, List<String> more) throws Exception {
         FaultSchedule d = FaultSchedule.read(day);
         return Fleet.play(
                 d,
-                new Shape(
+                new Workload(
                         Launch.found(more),
                         Collections.nCopies(d.gateways(), 5.0),
                         4500,
@@ -47,8 +47,8 @@
                         CLOSE));
     }
 
-    private static Shown kept(String day) throws Exception {
-        Shown s = play(day, List.of("--fleet", file.toString()));
+    private static FleetResult kept(String day) throws Exception {
+        FleetResult s = play(day, List.of("--fleet", file.toString()));
         assertThat(s.broken()).as(() -> String.join("\n", s.log())).isEmpty();
         assertThat(s.roamers().reads().getTotalCount()).as("reads acked").isGreaterThan(100);
         assertThat(s.roamers().writes().getTotalCount()).as("writes acked").isGreaterThan(50);
@@ -57,7 +57,7 @@
 
     @Test
     void eachKeeperInTurnIsKilledAndBackBeforeTheNextGoesAndNoPromiseBreaks() throws Exception {
-        Shown s = kept("""
+        FleetResult s = kept("""
                 day seed=31 gateways=3 lasts=15000
                 1000 kill n0
                 1100 start n0
@@ -87,7 +87,7 @@
 
     @Test
     void withoutWhatIsKeptASessionThatRoamsReadsFromBeforeItsAckedWrite() throws Exception {
-        Shown s = play("day seed=33 gateways=3 lasts=6000\n", List.of());
+        FleetResult s = play("day seed=33 gateways=3 lasts=6000\n", List.of());
         assertThat(s.broken()).extracting(b -> b.rule()).contains(Rule.NO_STALE_READ);
     }
 }
