--- a/tools/src/main/java/ploverdale/tools/lab/FleetModel.java
+++ b/tools/src/main/java/ploverdale/tools/lab/FleetModel.java
@@ -29,7 +29,7 @@
      * @param drift by which clocks run fast or slow, at most, as a share
      * @param delay of a datagram, at most
      */
-    public record TestCluster(
+    public record Settings(
             Division division,
             Leasing leasing,
             double drift,
@@ -206,7 +206,7 @@
         }
     }
 
-    private final TestCluster world;
+    private final Settings world;
     private final SplittableRandom chance;
     private final List<Instance> instances = new ArrayList<>();
     private final List<Spending> spending = new ArrayList<>();
@@ -216,7 +216,7 @@
     private long now;
     private long order;
 
-    public FleetModel(TestCluster world, long seed) {
+    public FleetModel(Settings world, long seed) {
         this.world = world;
         chance = new SplittableRandom(seed);
         loss = world.loss;
--- a/tools/src/main/java/ploverdale/tools/lab/ReplicaModel.java
+++ b/tools/src/main/java/ploverdale/tools/lab/ReplicaModel.java
@@ -37,7 +37,7 @@
      * @param drift by which clocks that never step run fast or slow, at most; the Unix clock is off by less than is told
      * @param delay of a datagram, at most
      */
-    public record TestCluster(
+    public record Settings(
             int gateways,
             Keeping keeping,
             double drift,
@@ -189,7 +189,7 @@
         }
     }
 
-    private final TestCluster world;
+    private final Settings world;
     private final SplittableRandom chance;
     private final List<Instance> instances = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -204,7 +204,7 @@
     private long now;
     private long order;
 
-    public ReplicaModel(TestCluster world, long seed) {
+    public ReplicaModel(Settings world, long seed) {
         this.world = world;
         chance = new SplittableRandom(seed);
         loss = world.loss;
--- a/tools/src/main/java/ploverdale/tools/lab/ReplicaTrial.java
+++ b/tools/src/main/java/ploverdale/tools/lab/ReplicaTrial.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import ploverdale.replica.Keeping;
-import ploverdale.tools.lab.ReplicaModel.TestCluster;
+import ploverdale.tools.lab.ReplicaModel.Settings;
 
 /** Runs of replicated state in simulated time: days of faults by chance, and what catching up takes. */
 public final class ReplicaTrial {
@@ -75,7 +75,7 @@
 
     /** A day of 24 s with sessions that roam and writes that are submitted up to four times, anywhere. */
     public static ReplicaModel day(int n, long seed) {
-        ReplicaModel m = new ReplicaModel(new TestCluster(n, keeping(3), 0.05, 0.05, 0.05, 10 * MS, 200_000), seed);
+        ReplicaModel m = new ReplicaModel(new Settings(n, keeping(3), 0.05, 0.05, 0.05, 10 * MS, 200_000), seed);
         SplittableRandom chance = new SplittableRandom(~seed);
         faults(m, chance, n, 2 * SECOND, 20 * SECOND);
         for (long t = SECOND; t < 24 * SECOND; t += 5 * MS) {
@@ -109,7 +109,7 @@
     /** One gateway is cut off while so many facts come that it does not get; told is how long it then takes, and its bytes. */
     public static CaughtUp catchesUp(int n, int facts, int differ, double bytesPerSecond, long seed) {
         Keeping keeps = new Keeping(3, true, 600 * SECOND, 60 * MS, 0, true, Set.of("put"), 100 * MS, 400_000, 50 * MS);
-        ReplicaModel m = new ReplicaModel(new TestCluster(n, keeps, 0.05, 0, 0, 2 * MS, bytesPerSecond), seed);
+        ReplicaModel m = new ReplicaModel(new Settings(n, keeps, 0.05, 0, 0, 2 * MS, bytesPerSecond), seed);
         m.until(3 * SECOND);
         fill(m, "s", facts, n);
         settles(m);
--- a/tools/src/main/java/ploverdale/tools/lab/Trial.java
+++ b/tools/src/main/java/ploverdale/tools/lab/Trial.java
@@ -7,7 +7,7 @@
 import ploverdale.budgets.Budget;
 import ploverdale.budgets.Division;
 import ploverdale.budgets.Leasing;
-import ploverdale.tools.lab.FleetModel.TestCluster;
+import ploverdale.tools.lab.FleetModel.Settings;
 
 /**
  * Some runs of one fleet in simulated time: how soon parts follow a shift of demand to one gateway, how soon the parts of a
@@ -76,7 +76,7 @@
             Division d = new Division(
                     List.of(new Budget("tenant", Budget.Kind.RATE, PARTS * gateways, SECOND)), gateways, FLOOR);
             Leasing leasing = new Leasing(loanMs * MS * 3 / 2, loanMs * MS, 0.05);
-            FleetModel m = new FleetModel(new TestCluster(d, leasing, 0.05, loss, 0.05, 20 * MS, 2000), seed);
+            FleetModel m = new FleetModel(new Settings(d, leasing, 0.05, loss, 0.05, 20 * MS, 2000), seed);
             SplittableRandom chance = new SplittableRandom(~seed);
             m.instances().forEach(i -> i.start(0));
             m.until(2 * leasing.overFor(leasing.steward()) + 2 * leasing.overFor(leasing.loan()));
--- a/tools/src/test/java/ploverdale/tools/lab/FleetModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/FleetModelTest.java
@@ -12,7 +12,7 @@
 import ploverdale.budgets.Leasing;
 import ploverdale.fleet.Membership.Standing;
 import ploverdale.tools.lab.FleetModel.Instance;
-import ploverdale.tools.lab.FleetModel.TestCluster;
+import ploverdale.tools.lab.FleetModel.Settings;
 
 /** Fleets in simulated time, through faults by chance; what is spent is counted from outside. */
 class FleetModelTest {
@@ -32,11 +32,11 @@
                 0.5);
     }
 
-    private static TestCluster world(int gateways, Leasing leasing) {
-        return new TestCluster(division(gateways), leasing, 0.05, 0.05, 0.05, 30 * MS, 4000);
+    private static Settings world(int gateways, Leasing leasing) {
+        return new Settings(division(gateways), leasing, 0.05, 0.05, 0.05, 30 * MS, 4000);
     }
 
-    private static FleetModel started(TestCluster w, long seed) {
+    private static FleetModel started(Settings w, long seed) {
         FleetModel m = new FleetModel(w, seed);
         m.instances().forEach(i -> i.start(0));
         return m;
@@ -130,7 +130,7 @@
     private static List<String> cutOffWithAllLent(Leasing leasing) {
         List<String> over = new ArrayList<>();
         for (long seed = 1; seed <= 30; seed++) {
-            FleetModel m = started(new TestCluster(division(4), leasing, 0.25, 0.05, 0.05, 30 * MS, 4000), seed);
+            FleetModel m = started(new Settings(division(4), leasing, 0.25, 0.05, 0.05, 30 * MS, 4000), seed);
             SplittableRandom chance = new SplittableRandom(~seed);
             for (long t = 10 * SECOND; t < 24 * SECOND; t += MS) {
                 for (int i = t < 16 * SECOND ? 3 : 0; i < 4; i++) {
@@ -219,7 +219,7 @@
     @Test
     void threeHundredKnowTheDeadSoonAndNobodyElseIsTakenForDead() {
         Division d = new Division(List.of(new Budget("tenant", Budget.Kind.RATE, 900, SECOND)), 300, 0.5);
-        FleetModel m = started(new TestCluster(d, LEASING, 0.05, 0.05, 0.05, 30 * MS, 2000), 8);
+        FleetModel m = started(new Settings(d, LEASING, 0.05, 0.05, 0.05, 30 * MS, 2000), 8);
         m.until(30 * SECOND); // each is asked by somebody twice a second; all hear of all a little later
         for (Instance i : m.instances()) {
             assertThat(i.membership().present()).isGreaterThan(290);
--- a/tools/src/test/java/ploverdale/tools/lab/ReplicaModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/ReplicaModelTest.java
@@ -10,7 +10,7 @@
 import ploverdale.replica.Keeping;
 import ploverdale.replica.Replicas;
 import ploverdale.replica.Replicas.End;
-import ploverdale.tools.lab.ReplicaModel.TestCluster;
+import ploverdale.tools.lab.ReplicaModel.Settings;
 import ploverdale.tools.lab.ReplicaTrial.CaughtUp;
 
 /** Replicated state in simulated time, through faults by chance; what clients were promised is held from outside. */
@@ -20,7 +20,7 @@
 
     private static ReplicaModel model(int gateways, int copies, double loss, long seed) {
         return new ReplicaModel(
-                new TestCluster(gateways, ReplicaTrial.keeping(copies), 0.05, loss, 0.05, 10 * MS, 200_000), seed);
+                new Settings(gateways, ReplicaTrial.keeping(copies), 0.05, loss, 0.05, 10 * MS, 200_000), seed);
     }
 
     @Test
