scale router: the decision module's cost by number of servers, with slopes checked at twice the size

The first part of the capacity work: the real module on a simulated clock among stand-in servers, serving or with a zone lost. Processor time (of the thread, after warm-up), bytes allocated and events a simulated second go to CSV rows; each is fitted over five sizes or more with the shape that the data choose (constant, log n, n, n log n, n^2, by relative error), predicted for twice the largest size, and measured there; a miss of over 20 % is called not to be used.

--- a/tools/src/main/java/ploverdale/tools/Main.java
+++ b/tools/src/main/java/ploverdale/tools/Main.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -19,6 +20,8 @@
 import ploverdale.tools.lab.Trial;
 import ploverdale.tools.rig.Check;
 import ploverdale.tools.rig.Rigs;
+import ploverdale.tools.scale.RouterLoad.Condition;
+import ploverdale.tools.scale.RouterScale;
 
 /** The command line of the tools. Exit codes: 0 all checks hold, 1 one does not, 2 not understood. */
 public final class Main {
@@ -35,7 +38,9 @@
                    java -jar ploverdale-tools.jar lab replicas [--seed N] [--seeds N]
               plays days of faults in simulated time, and tells which promises of what is kept were broken
                    java -jar ploverdale-tools.jar lab copies [--sizes 2,10,100] [--facts N] [--out FILE]
-              plays one that was cut off and catches up, with 10, 1,000 and as many facts as there are that differ""";
+              plays one that was cut off and catches up, with 10, 1,000 and as many facts as there are that differ
+                   java -jar ploverdale-tools.jar scale router [--sizes 100,200,400,800,1600] [--reads N] [--zone-lost] [--seed N] [--out FILE]
+              measures the decision module among so many servers, fits slopes, predicts twice the largest size and measures there""";
 
     @Argument(index = 0, required = true, metaVar = "rig")
     private String command;
@@ -73,6 +78,12 @@
     @Option(name = "--facts", usage = "facts held when one returns")
     private int facts = 20_000;
 
+    @Option(name = "--reads", usage = "a second, at the gateway that is measured")
+    private double reads = 50;
+
+    @Option(name = "--zone-lost", usage = "the servers of one zone answer nothing")
+    private boolean zoneLost;
+
     private static final long LOAN_MS = 2000;
     private static final double CATCH_UP_BYTES = 400_000; // a second, of each
 
@@ -82,7 +93,7 @@
         Main main = new Main();
         try {
             new CmdLineParser(main).parseArgument(args);
-            if (!main.command.equals("rig") && !main.command.equals("lab")) {
+            if (!List.of("rig", "lab", "scale").contains(main.command)) {
                 throw new IllegalArgumentException("no command " + main.command);
             }
         } catch (CmdLineException | IllegalArgumentException e) {
@@ -90,7 +101,29 @@
             System.err.println(USAGE);
             System.exit(2);
         }
-        System.exit(main.command.equals("lab") ? main.lab() : main.rig());
+        System.exit(main.run());
+    }
+
+    private int run() throws IOException, InterruptedException {
+        return switch (command) {
+            case "lab" -> lab();
+            case "scale" -> scale();
+            default -> rig();
+        };
+    }
+
+    private int scale() throws IOException {
+        if (!name.equals("router")) {
+            System.err.println("ploverdale-tools: no scale " + name);
+            System.err.println(USAGE);
+            return 2;
+        }
+        List<Integer> all = Arrays.stream(sizes.split(","))
+                .map(String::strip)
+                .map(Integer::valueOf)
+                .toList();
+        Condition condition = zoneLost ? Condition.ZONE_LOST : Condition.SERVING;
+        return RouterScale.run(condition, reads, all, seed, out == null ? null : Path.of(out), System.out) ? 0 : 1;
     }
 
     private int lab() throws IOException {
--- /dev/null
+++ b/tools/src/main/java/ploverdale/tools/scale/RouterLoad.java
@@ -0,0 +1,250 @@
+package ploverdale.tools.scale;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import ploverdale.Logic;
+import ploverdale.model.Action;
+import ploverdale.model.CopyKeeping;
+import ploverdale.model.CopyKeeping.Checks;
+import ploverdale.model.Event;
+import ploverdale.model.Event.Outcome;
+import ploverdale.model.GroupId;
+import ploverdale.model.Listing;
+import ploverdale.model.OpId;
+import ploverdale.model.OpType;
+import ploverdale.model.OpType.Needs;
+import ploverdale.model.OpType.Repeats;
+import ploverdale.model.OpTypeId;
+import ploverdale.model.Permits;
+import ploverdale.model.Pledges;
+import ploverdale.model.Report;
+import ploverdale.model.Report.Role;
+import ploverdale.model.ServerId;
+import ploverdale.model.Tenant;
+import ploverdale.model.TenantId;
+import ploverdale.model.ZoneId;
+
+/**
+ * One gateway's decision module, as it runs in service, on a simulated clock among stand-in servers: groups of three, reads
+ * of one type whose data may be a second old, answers and probes within five milliseconds. Half of a run is warm-up. Times in
+ * tenths of a millisecond.
+ */
+public final class RouterLoad {
+    /** What goes on. */
+    public enum Condition {
+        /** Reads at the given rate, all servers well. */
+        SERVING,
+        /** The same, and the servers of one zone answer nothing from the middle of the warm-up on. */
+        ZONE_LOST
+    }
+
+    /**
+     * What one run took, each a second of simulated time.
+     *
+     * @param cpuMs processor time of the module
+     * @param allocatedBytes that the module allocated
+     * @param served reads answered with a value
+     */
+    public record Cost(
+            double cpuMs, double allocatedBytes, double events, double probes, double served, double refused) {}
+
+    private static final long MS = 10;
+    private static final int GROUP = 3;
+    private static final int ZONES = 28;
+    private static final long BOUND = 1000 * MS;
+    private static final long ANSWERS_WITHIN = 5 * MS;
+    private static final long REPLICA_LAG = 5 * MS;
+    private static final long CLIENT_WAITS = 2000 * MS;
+    private static final long START = 17_000_000_000_000L; // a Unix time to begin with
+    private static final com.sun.management.ThreadMXBean THREADS =
+            (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+
+    private record Due(long at, long order, Event event) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    private final Logic router = new Logic(null);
+    private final SplittableRandom chance;
+    private final int servers;
+    private final Condition condition;
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final Map<OpId, Integer> sends = new HashMap<>();
+    private final List<ServerId> ids = new ArrayList<>();
+    private final Map<ServerId, Integer> numbers = new HashMap<>();
+    private long order;
+    private long now = START;
+    private boolean zoneLost;
+    private long cpuNanos;
+    private long allocated;
+    private int events;
+    private int probes;
+    private int served;
+    private int refused;
+
+    private RouterLoad(int servers, Condition condition, long seed) {
+        this.servers = servers;
+        this.condition = condition;
+        chance = new SplittableRandom(seed);
+        for (int i = 0; i < servers; i++) {
+            ids.add(new ServerId("s-" + i));
+            numbers.put(ids.get(i), i);
+        }
+    }
+
+    /** Runs so many seconds of simulated time; the second half is measured. */
+    public static Cost measure(int servers, double readsPerSecond, Condition condition, double seconds, long seed) {
+        return new RouterLoad(servers, condition, seed).run(readsPerSecond, seconds);
+    }
+
+    private Cost run(double readsPerSecond, double seconds) {
+        long length = (long) (seconds * 1000 * MS);
+        tell(started(readsPerSecond));
+        tell(new Event.ListTold(true, false, listings()));
+        scheduleReads(readsPerSecond, length);
+        playUntil(START + length / 4);
+        zoneLost = condition == Condition.ZONE_LOST;
+        playUntil(START + length / 2);
+        forgetCosts();
+        playUntil(START + length);
+        double measured = seconds / 2;
+        return new Cost(
+                cpuNanos / 1e6 / measured,
+                allocated / measured,
+                events / measured,
+                probes / measured,
+                served / measured,
+                refused / measured);
+    }
+
+    private static Event.Started started(double readsPerSecond) {
+        OpType read = new OpType(
+                500 * MS, 0, CLIENT_WAITS, Repeats.RETRYABLE, OpType.Scope.GROUP, 0, 1, 0, false, Needs.BOUNDED, BOUND);
+        return new Event.Started(
+                7,
+                1,
+                List.of(read),
+                List.of(new Tenant(2 * readsPerSecond)),
+                0.1,
+                new Pledges(0.3, 6000 * MS, 2.5, 1000 * MS, true, 0),
+                new Permits(6, true, true, true, 1000 * MS, false),
+                new CopyKeeping(Checks.NONE, 0, false),
+                false,
+                0);
+    }
+
+    private List<Listing> listings() {
+        List<Listing> all = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            all.add(new Listing(
+                    ids.get(i), new GroupId(i / GROUP), new ZoneId(i % ZONES), Listing.Stage.IN, i % GROUP == 0, 0));
+        }
+        return all;
+    }
+
+    private void scheduleReads(double perSecond, long length) {
+        int groups = (servers + GROUP - 1) / GROUP;
+        int count = (int) (perSecond * length / (1000 * MS));
+        for (int i = 0; i < count; i++) {
+            long at = START + (long) (i * 1000 * MS / perSecond);
+            add(
+                    at,
+                    new Event.OpArrived(
+                            new OpId("r" + i),
+                            new OpTypeId(0),
+                            new TenantId(0),
+                            new GroupId(chance.nextInt(groups)),
+                            null,
+                            at + CLIENT_WAITS,
+                            false,
+                            0,
+                            0));
+        }
+    }
+
+    private void add(long at, Event event) {
+        due.add(new Due(Math.max(at, now), order++, event));
+    }
+
+    private void playUntil(long end) {
+        while (!due.isEmpty() && due.peek().at < end) {
+            Due d = due.poll();
+            now = d.at;
+            tell(d.event);
+        }
+        now = end;
+    }
+
+    private void forgetCosts() {
+        cpuNanos = 0;
+        allocated = 0;
+        events = 0;
+        probes = 0;
+        served = 0;
+        refused = 0;
+    }
+
+    /** Hands the module one event, counts what that took, and has its actions carried out. */
+    private void tell(Event event) {
+        long thread = Thread.currentThread().getId();
+        long bytesBefore = THREADS.getThreadAllocatedBytes(thread);
+        long before = THREADS.getCurrentThreadCpuTime();
+        List<Action> actions = router.on(now, event);
+        cpuNanos += THREADS.getCurrentThreadCpuTime() - before;
+        allocated += THREADS.getThreadAllocatedBytes(thread) - bytesBefore;
+        events++;
+        actions.forEach(this::carryOut);
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Action.Send send) {
+            int number = sends.merge(send.op(), 1, Integer::sum) - 1;
+            answer(send, number);
+        } else if (action instanceof Action.Probe probe) {
+            probes++;
+            long at = now + 1 + chance.nextLong(ANSWERS_WITHIN);
+            add(
+                    at,
+                    answers(probe.server())
+                            ? new Event.ProbeEnded(probe.server(), Outcome.ACKED, report(probe.server(), at))
+                            : new Event.ProbeEnded(probe.server(), Outcome.TIMED_OUT, null));
+        } else if (action instanceof Action.Wake wake) {
+            add(wake.at(), new Event.WakeUp(wake.mark()));
+        } else if (action instanceof Action.BusyReply reply) {
+            refused++;
+            sends.remove(reply.op());
+        }
+    }
+
+    private void answer(Action.Send send, int number) {
+        if (!answers(send.server())) {
+            long at = now + send.timeLimit();
+            add(
+                    at,
+                    new Event.SendEnded(
+                            send.op(), number, send.server(), Outcome.TIMED_OUT, send.timeLimit(), false, null, null));
+            return;
+        }
+        long took = 1 + chance.nextLong(ANSWERS_WITHIN);
+        served++;
+        sends.remove(send.op());
+        Report note = report(send.server(), now + took);
+        add(now + took, new Event.SendEnded(send.op(), number, send.server(), Outcome.ACKED, took, true, note, null));
+    }
+
+    private boolean answers(ServerId server) {
+        return !zoneLost || numbers.get(server) % ZONES != 0;
+    }
+
+    private Report report(ServerId server, long at) {
+        boolean primary = numbers.get(server) % GROUP == 0;
+        return new Report(primary ? Role.PRIMARY : Role.REPLICA, primary ? at : at - REPLICA_LAG, 0.3);
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/ploverdale/tools/scale/RouterScale.java
@@ -0,0 +1,136 @@
+package ploverdale.tools.scale;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import ploverdale.tools.scale.RouterLoad.Condition;
+import ploverdale.tools.scale.RouterLoad.Cost;
+
+/**
+ * Measures the decision module at growing numbers of servers, fits a slope to each cost, predicts twice the largest size and
+ * then measures there. A slope that misses by more than {@link #MISSES_MOST} is reported as not usable.
+ */
+public final class RouterScale {
+    /** By how much a prediction may miss what is measured, as a share. */
+    public static final double MISSES_MOST = 0.2;
+
+    /** The first line of the rows. */
+    public static final String HEAD =
+            "condition,reads_per_second,servers,cpu_ms_per_s,allocated_kb_per_s,events_per_s,probes_per_s,served_per_s,refused_per_s";
+
+    private static final double SECONDS = 20; // of simulated time, half of it warm-up
+
+    /** A cost that a slope is fitted to. */
+    private enum Figure {
+        CPU("cpu_ms_per_s", Cost::cpuMs),
+        ALLOCATED("allocated_kb_per_s", c -> c.allocatedBytes() / 1000),
+        EVENTS("events_per_s", Cost::events);
+
+        private final String column;
+        private final ToDoubleFunction<Cost> value;
+
+        Figure(String column, ToDoubleFunction<Cost> value) {
+            this.column = column;
+            this.value = value;
+        }
+    }
+
+    private final Condition condition;
+    private final double readsPerSecond;
+    private final long seed;
+    private final List<String> rows = new ArrayList<>();
+    private final PrintStream progress;
+
+    private RouterScale(Condition condition, double readsPerSecond, long seed, PrintStream progress) {
+        this.condition = condition;
+        this.readsPerSecond = readsPerSecond;
+        this.seed = seed;
+        this.progress = progress;
+    }
+
+    /** Measures at each size and at twice the largest; true where each slope holds there. Rows go to the file, if any. */
+    public static boolean run(
+            Condition condition, double readsPerSecond, List<Integer> sizes, long seed, Path out, PrintStream progress)
+            throws IOException {
+        RouterScale scale = new RouterScale(condition, readsPerSecond, seed, progress);
+        progress.println(HEAD);
+        scale.measure(sizes.get(sizes.size() - 1)); // not counted, so that no size pays for compiling
+        scale.rows.clear();
+        List<Cost> costs = new ArrayList<>();
+        for (int size : sizes) {
+            costs.add(scale.measure(size));
+        }
+        boolean holds = scale.check(sizes, costs);
+        if (out != null) {
+            boolean fresh = !Files.exists(out);
+            List<String> lines = new ArrayList<>(fresh ? List.of(HEAD) : Files.readAllLines(out));
+            lines.addAll(scale.rows);
+            Files.write(out, lines);
+        }
+        return holds;
+    }
+
+    private Cost measure(int servers) {
+        Cost c = RouterLoad.measure(servers, readsPerSecond, condition, SECONDS, seed);
+        String row = String.format(
+                Locale.ROOT,
+                "%s,%.0f,%d,%.2f,%.1f,%.1f,%.1f,%.1f,%.1f",
+                condition.name().toLowerCase(Locale.ROOT),
+                readsPerSecond,
+                servers,
+                c.cpuMs(),
+                c.allocatedBytes() / 1000,
+                c.events(),
+                c.probes(),
+                c.served(),
+                c.refused());
+        rows.add(row);
+        progress.println(row);
+        return c;
+    }
+
+    private boolean check(List<Integer> sizes, List<Cost> costs) {
+        int twice = 2 * sizes.get(sizes.size() - 1);
+        List<Slope> slopes = new ArrayList<>();
+        for (Figure f : Figure.values()) {
+            List<Slope.Point> points = new ArrayList<>();
+            for (int i = 0; i < sizes.size(); i++) {
+                points.add(new Slope.Point(sizes.get(i), f.value.applyAsDouble(costs.get(i))));
+            }
+            Slope s = Slope.fit(points);
+            slopes.add(s);
+            progress.printf(
+                    Locale.ROOT,
+                    "# %s: %.4g + %.4g x %s, residual %.1f %%; predicted at %d: %.4g%n",
+                    f.column,
+                    s.base(),
+                    s.factor(),
+                    s.shape().formula(),
+                    100 * s.residual(),
+                    twice,
+                    s.at(twice));
+        }
+        Cost there = measure(twice);
+        boolean holds = true;
+        for (Figure f : Figure.values()) {
+            double measured = f.value.applyAsDouble(there);
+            double miss = slopes.get(f.ordinal()).at(twice) / measured - 1;
+            boolean usable = Math.abs(miss) <= MISSES_MOST;
+            holds &= usable;
+            progress.printf(
+                    Locale.ROOT,
+                    "# %s at %d: measured %.4g, the prediction is off by %+.1f %%: %s%n",
+                    f.column,
+                    twice,
+                    measured,
+                    100 * miss,
+                    usable ? "holds" : "not to be used");
+        }
+        return holds;
+    }
+}
--- /dev/null
+++ b/tools/src/test/java/ploverdale/tools/scale/RouterLoadTest.java
@@ -0,0 +1,54 @@
+package ploverdale.tools.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import ploverdale.tools.scale.RouterLoad.Condition;
+import ploverdale.tools.scale.RouterLoad.Cost;
+
+/** The short form of scale: shapes by what is counted, bytes allocated and events, not by time. */
+class RouterLoadTest {
+    private static final double SECONDS = 4;
+    private static final double READS = 50;
+    private static final int[] SIZES = {60, 120, 240, 480, 960};
+
+    private static Cost cost(int servers, Condition condition) {
+        return RouterLoad.measure(servers, READS, condition, SECONDS, 1);
+    }
+
+    @Test
+    void allReadsAreServedWhereAllServersAreWell() {
+        Cost c = cost(60, Condition.SERVING);
+        assertThat(c.served()).isEqualTo(READS);
+        assertThat(c.refused()).isZero();
+    }
+
+    @Test
+    void mostReadsAreServedWhereAZoneIsLost() {
+        Cost c = cost(168, Condition.ZONE_LOST);
+        assertThat(c.served()).isGreaterThan(0.9 * READS);
+    }
+
+    @Test
+    void whatTheModuleAllocatesGrowsNoFasterThanTheServers() {
+        List<Slope.Point> points = new ArrayList<>();
+        cost(SIZES[0], Condition.SERVING); // once before, so that no class is loaded while it is counted
+        for (int n : SIZES) {
+            points.add(new Slope.Point(n, cost(n, Condition.SERVING).allocatedBytes()));
+        }
+        Slope s = Slope.fit(points);
+        assertThat(s.shape()).as(s + " through " + points).isLessThanOrEqualTo(GrowthShape.LINEAR);
+        assertThat(s.residual()).as(s + " through " + points).isLessThan(RouterScale.MISSES_MOST);
+    }
+
+    @Test
+    void eventsDoNotGrowFasterThanTheServers() {
+        List<Slope.Point> points = new ArrayList<>();
+        for (int n : SIZES) {
+            points.add(new Slope.Point(n, cost(n, Condition.SERVING).events()));
+        }
+        assertThat(Slope.fit(points).shape()).as(points::toString).isLessThanOrEqualTo(GrowthShape.LINEAR);
+    }
+}
--- /dev/null
+++ b/tools/src/test/java/ploverdale/tools/scale/SlopeTest.java
@@ -0,0 +1,55 @@
+package ploverdale.tools.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A slope is found with its shape and holds where it was not fitted; what does not follow it is told by the residual. */
+class SlopeTest {
+    private static final double[] SIZES = {100, 200, 400, 800, 1600, 3200};
+
+    private static List<Slope.Point> points(GrowthShape shape, double base, double factor, double noise) {
+        SplittableRandom chance = new SplittableRandom(3);
+        List<Slope.Point> all = new ArrayList<>();
+        for (double n : SIZES) {
+            double off = 1 + noise * (2 * chance.nextDouble() - 1);
+            all.add(new Slope.Point(n, off * (base + factor * shape.of(n))));
+        }
+        return all;
+    }
+
+    @ParameterizedTest
+    @EnumSource(GrowthShape.class)
+    void theShapeIsFoundAndHoldsAtTwiceTheLargestSize(GrowthShape shape) {
+        Slope s = Slope.fit(points(shape, 10, 2, 0.005));
+        assertThat(s.shape()).isEqualTo(shape);
+        assertThat(s.residual()).isLessThan(0.01);
+        double there = 10 + 2 * shape.of(6400);
+        assertThat(s.at(6400)).isCloseTo(there, within(0.05 * there));
+    }
+
+    @Test
+    void noiseAloneIsNoGrowth() {
+        assertThat(Slope.fit(points(GrowthShape.CONSTANT, 10, 0, 0.1)).shape()).isEqualTo(GrowthShape.CONSTANT);
+    }
+
+    @Test
+    void whatFollowsNoShapeHasALargeResidual() {
+        List<Slope.Point> jumps = new ArrayList<>(points(GrowthShape.LINEAR, 1, 1, 0));
+        jumps.set(3, new Slope.Point(800, 80));
+        assertThat(Slope.fit(jumps).residual()).isGreaterThan(0.2);
+    }
+
+    @Test
+    void fewerThanFiveSizesAreNoFit() {
+        assertThatThrownBy(() -> Slope.fit(points(GrowthShape.LINEAR, 1, 1, 0).subList(0, 4)))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+}
