scale table: the capacity page's table from the rows, with what breaks at which size

A slope counts as usable when it follows its points and the size that it was not fitted to within 20 %.

--- a/tools/src/main/java/ploverdale/tools/Main.java
+++ b/tools/src/main/java/ploverdale/tools/Main.java
@@ -20,6 +20,7 @@
 import ploverdale.tools.lab.Trial;
 import ploverdale.tools.rig.Check;
 import ploverdale.tools.rig.Rigs;
+import ploverdale.tools.scale.CapacityTable;
 import ploverdale.tools.scale.RouterLoad.Condition;
 import ploverdale.tools.scale.RouterScale;
 
@@ -40,7 +41,9 @@
                    java -jar ploverdale-tools.jar lab copies [--sizes 2,10,100] [--facts N] [--out FILE]
               plays one that was cut off and catches up, with 10, 1,000 and as many facts as there are that differ
                    java -jar ploverdale-tools.jar scale router [--sizes 100,200,400,800,1600] [--reads N] [--zone-lost] [--seed N] [--out FILE]
-              measures the decision module among so many servers, fits slopes, predicts twice the largest size and measures there""";
+              measures the decision module among so many servers, fits slopes, predicts twice the largest size and measures there
+                   java -jar ploverdale-tools.jar scale table FILE
+              makes the table of docs/CAPACITY.md from those rows""";
 
     @Argument(index = 0, required = true, metaVar = "rig")
     private String command;
@@ -113,6 +116,10 @@
     }
 
     private int scale() throws IOException {
+        if (name.equals("table")) {
+            CapacityTable.of(Files.readAllLines(Path.of(file))).forEach(System.out::println);
+            return 0;
+        }
         if (!name.equals("router")) {
             System.err.println("ploverdale-tools: no scale " + name);
             System.err.println(USAGE);
--- a/tools/src/main/java/ploverdale/tools/scale/RouterScale.java
+++ b/tools/src/main/java/ploverdale/tools/scale/RouterScale.java
@@ -13,12 +13,9 @@
 
 /**
  * Measures the decision module at growing numbers of servers, fits a slope to each cost, predicts twice the largest size and
- * then measures there. A slope that misses by more than {@link #MISSES_MOST} is reported as not usable.
+ * then measures there. A slope that misses by more than {@link Slope#MISSES_MOST} is reported as not usable.
  */
 public final class RouterScale {
-    /** By how much a prediction may miss what is measured, as a share. */
-    public static final double MISSES_MOST = 0.2;
-
     /** The first line of the rows. */
     public static final String HEAD =
             "condition,reads_per_second,servers,cpu_ms_per_s,allocated_kb_per_s,events_per_s,probes_per_s,served_per_s,refused_per_s";
@@ -120,7 +117,7 @@
         for (Figure f : Figure.values()) {
             double measured = f.value.applyAsDouble(there);
             double miss = slopes.get(f.ordinal()).at(twice) / measured - 1;
-            boolean usable = Math.abs(miss) <= MISSES_MOST;
+            boolean usable = slopes.get(f.ordinal()).isUsable(miss);
             holds &= usable;
             progress.printf(
                     Locale.ROOT,
--- a/tools/src/main/java/ploverdale/tools/scale/Slope.java
+++ b/tools/src/main/java/ploverdale/tools/scale/Slope.java
@@ -26,6 +26,14 @@
     private static final double CLEARLY_BETTER =
             0.8; // a steeper shape must bring the residual under this part of a flatter one's
 
+    /** By how much a slope may miss, at the sizes it was fitted to and at one that it was not, as a share. */
+    public static final double MISSES_MOST = 0.2;
+
+    /** Whether it may be used: it follows its points, and missed a size that it was not fitted to by this share. */
+    public boolean isUsable(double miss) {
+        return residual <= MISSES_MOST && Math.abs(miss) <= MISSES_MOST;
+    }
+
     /** The cost at a size, whether it was fitted there or not. */
     public double at(double size) {
         return base + factor * shape.of(size);
--- a/tools/src/test/java/ploverdale/tools/scale/RouterLoadTest.java
+++ b/tools/src/test/java/ploverdale/tools/scale/RouterLoadTest.java
@@ -40,7 +40,7 @@
         }
         Slope s = Slope.fit(points);
         assertThat(s.shape()).as(s + " through " + points).isLessThanOrEqualTo(GrowthShape.LINEAR);
-        assertThat(s.residual()).as(s + " through " + points).isLessThan(RouterScale.MISSES_MOST);
+        assertThat(s.residual()).as(s + " through " + points).isLessThan(Slope.MISSES_MOST);
     }
 
     @Test
