--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -20,15 +20,14 @@
 import org.HdrHistogram.Histogram;
 import ploverdale.net.LogicLoop.Clock;
 import ploverdale.tools.fleet.FaultSchedule.Step;
-import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.model.GroupModel;
 import ploverdale.tools.model.Plan;
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
+import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.RoamingClients;
-import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -48,64 +47,9 @@
     private static final long LAST_ANSWERS_MS = 4000;
     private static final long ALL_START_WITHIN_S = 60;
 
-    /**
-     * How it is played.
-     *
-     * @param opsPerSecond asked of each gateway, by number
-     * @param settlesMs between the moment at which all serve and the first op; the day begins with the first op
-     * @param roams how clients with sessions ask beside those, or null
-     * @param crowd of client connections at each gateway
-     */
-    public record Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams,
-            Crowd crowd) {
-        /** The same with as few connections as serve. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic, RoamingClients.Habit roams) {
-            this(launch, opsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
-        }
-
-        /** The same without clients that roam. */
-        public Shape(Launch launch, List<Double> opsPerSecond, long settlesMs, TestCluster.Traffic traffic) {
-            this(launch, opsPerSecond, settlesMs, traffic, null);
-        }
-
-        /** The same with this crowd. */
-        public Shape with(Crowd others) {
-            return new Shape(launch, opsPerSecond, settlesMs, traffic, roams, others);
-        }
-
-        /** All gateways are asked as much, from the beginning. */
-        public static Shape even(Launch launch, int gateways, double opsPerSecond) {
-            return new Shape(launch, Collections.nCopies(gateways, opsPerSecond), 0, (op, server, now, comes) -> { });
-        }
-    }
-
-    /**
-     * How many connections clients hold at a gateway, and its descriptors.
-     *
-     * @param connections that its clients open and use in turn; 0: as few as serve
-     */
-    public record Crowd(int connections, int descriptors) {
-        /** As few as serve, and descriptors enough. */
-        public static final Crowd NONE = new Crowd(0, GatewayConfiguration.DESCRIPTORS);
-    }
-
-    /**
-     * What a day showed.
-     *
-     * @param late by how much answers came after their time, 0 for those in time, in microseconds
-     */
-    public record Shown(FaultSchedule day, List<Ledger.Broken> broken, int ops, int readsAsked, int readsAcked, int writesAsked,
-            int writesAcked, List<Long> startsMs, List<String> log, RoamingClients roamers, Histogram late) {
-        /** A line of figures. */
-        public String figures() {
-            return String.format(Locale.ROOT, "%d ops, reads acked %d of %d, writes %d of %d, starts %s ms", ops, readsAcked,
-                    readsAsked, writesAcked, writesAsked, startsMs);
-        }
-    }
-
     private final Vertx vertx;
     private final FaultSchedule day;
-    private final Shape shape;
+    private final Workload shape;
     private final SplittableRandom chance;
     private final Ledger ledger = new Ledger(DRAIN_GRACE_MS * MS);
     private final TestCluster world;
@@ -121,31 +65,45 @@
     private LossyLink link;
     private RoamingClients roamers;
 
-    private Fleet(Vertx vertx, FaultSchedule day, Shape shape) {
+    private Fleet(Vertx vertx, FaultSchedule day, Workload shape) {
         this.vertx = vertx;
         this.day = day;
         this.shape = shape;
         chance = new SplittableRandom(day.seed());
-        Plan plan = new Plan((shape.roams() == null ? SHIP_MS : SHIP_ROAMING_MS) * MS, 300 * MS, 600 * MS, 300 * MS, 4, 8 * MS, 0.3, 6000 * MS, 2.5, 1000 * MS,
-                5000 * MS, 4);
-        GroupModel model = new GroupModel(plan, chance.split(), SERVERS, Clock.now(), (now, what) -> note("world", what));
+        Plan plan = new Plan(
+                (shape.roams() == null ? SHIP_MS : SHIP_ROAMING_MS) * MS,
+                300 * MS,
+                600 * MS,
+                300 * MS,
+                4,
+                8 * MS,
+                0.3,
+                6000 * MS,
+                2.5,
+                1000 * MS,
+                5000 * MS,
+                4);
+        GroupModel model =
+                new GroupModel(plan, chance.split(), SERVERS, Clock.now(), (now, what) -> note("world", what));
         world = new TestCluster(vertx, model, ledger, SERVERS, LIST_LATE_MS);
         world.traffic(shape.traffic());
         world.hearsLists(g -> !cutOff.getOrDefault(g, false));
     }
 
     /** Plays a day; waits for its end. */
-    public static Shown play(FaultSchedule day, Shape shape) throws Exception {
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+    public static FleetResult play(FaultSchedule day, Workload shape) throws Exception {
+        Vertx vertx = Vertx.vertx(
+                new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
         List<GatewayProcess> started = Collections.synchronizedList(new ArrayList<>());
         try {
-            Promise<Shown> done = Promise.promise();
+            Promise<FleetResult> done = Promise.promise();
             vertx.runOnContext(x -> {
                 Fleet fleet = new Fleet(vertx, day, shape);
                 fleet.play(started).onComplete(done);
             });
-            return done.future().toCompletionStage().toCompletableFuture()
+            return done.future()
+                    .toCompletionStage()
+                    .toCompletableFuture()
                     .get(ALL_START_WITHIN_S + (day.lastsMs() + shape.settlesMs()) / 1000 + 30, TimeUnit.SECONDS);
         } finally {
             for (GatewayProcess p : List.copyOf(started)) {
@@ -159,55 +117,62 @@
         log.add(String.format(Locale.ROOT, "%9.3f %s %s", (System.nanoTime() - began) / 1e9, who, what));
     }
 
-    private Future<Shown> play(List<GatewayProcess> started) {
-        Future<?> ready = world.servers().compose(x -> LossyLink.open(vertx, chance.split(), 0, day.gateways()))
+    private Future<FleetResult> play(List<GatewayProcess> started) {
+        Future<?> ready = world.servers()
+                .compose(x -> LossyLink.open(vertx, chance.split(), 0, day.gateways()))
                 .onSuccess(l -> link = l);
         for (int i = 0; i < day.gateways(); i++) {
             int me = i;
             ready = ready.compose(x -> prepare(me));
         }
         return ready.compose(x -> {
-            List<Future<?>> ups = new ArrayList<>();
-            for (int i = 0; i < day.gateways(); i++) {
-                started.add(gateways.get(i));
-                ups.add(up(i));
-            }
-            return Future.all(ups);
-        }).compose(x -> vertx.timer(Math.max(1, shape.settlesMs()), TimeUnit.MILLISECONDS)).compose(x -> {
-            for (int i = 0; i < clients.size(); i++) {
-                clients.get(i).start(shape.opsPerSecond().get(i), 0);
-            }
-            if (shape.roams() != null) {
-                List<Integer> ports = new ArrayList<>();
-                for (int i = 0; i < day.gateways(); i++) {
-                    ports.add(ways.get("n" + i + " clients").port());
-                }
-                roamers = new RoamingClients(vertx, ledger, chance.split(), ports, shape.roams());
-                roamers.start();
-            }
-            for (Step s : day.steps()) {
-                vertx.setTimer(Math.max(1, s.atMs()), y -> happens(s));
-            }
-            return vertx.timer(day.lastsMs(), TimeUnit.MILLISECONDS);
-        }).compose(x -> {
-            ways.values().forEach(FaultyLink::heal);
-            if (roamers != null) {
-                roamers.stop();
-            }
-            Promise<Void> answered = Promise.promise();
-            int[] left = {clients.size()};
-            clients.forEach(c -> c.stop(() -> {
-                if (--left[0] == 0) {
-                    answered.tryComplete();
-                }
-            }));
-            vertx.setTimer(LAST_ANSWERS_MS, y -> answered.tryComplete());
-            return answered.future();
-        }).compose(x -> Future.all(gateways.stream().map(g -> Future.fromCompletionStage(g.kill(), vertx.getOrCreateContext()))
-                .toList())).map(x -> shown());
+                    List<Future<?>> ups = new ArrayList<>();
+                    for (int i = 0; i < day.gateways(); i++) {
+                        started.add(gateways.get(i));
+                        ups.add(up(i));
+                    }
+                    return Future.all(ups);
+                })
+                .compose(x -> vertx.timer(Math.max(1, shape.settlesMs()), TimeUnit.MILLISECONDS))
+                .compose(x -> {
+                    for (int i = 0; i < clients.size(); i++) {
+                        clients.get(i).start(shape.opsPerSecond().get(i), 0);
+                    }
+                    if (shape.roams() != null) {
+                        List<Integer> ports = new ArrayList<>();
+                        for (int i = 0; i < day.gateways(); i++) {
+                            ports.add(ways.get("n" + i + " clients").port());
+                        }
+                        roamers = new RoamingClients(vertx, ledger, chance.split(), ports, shape.roams());
+                        roamers.start();
+                    }
+                    for (Step s : day.steps()) {
+                        vertx.setTimer(Math.max(1, s.atMs()), y -> happens(s));
+                    }
+                    return vertx.timer(day.lastsMs(), TimeUnit.MILLISECONDS);
+                })
+                .compose(x -> {
+                    ways.values().forEach(FaultyLink::heal);
+                    if (roamers != null) {
+                        roamers.stop();
+                    }
+                    Promise<Void> answered = Promise.promise();
+                    int[] left = {clients.size()};
+                    clients.forEach(c -> c.stop(() -> {
+                        if (--left[0] == 0) {
+                            answered.tryComplete();
+                        }
+                    }));
+                    vertx.setTimer(LAST_ANSWERS_MS, y -> answered.tryComplete());
+                    return answered.future();
+                })
+                .compose(x -> Future.all(gateways.stream()
+                        .map(g -> Future.fromCompletionStage(g.kill(), vertx.getOrCreateContext()))
+                        .toList()))
+                .map(x -> shown());
     }
 
-    private Shown shown() {
+    private FleetResult shown() {
         world.close();
         ways.values().forEach(FaultyLink::close);
         link.close();
@@ -222,8 +187,18 @@
         }
         List<Ledger.Broken> broken = ledger.close(Clock.now());
         broken.forEach(b -> note("ledger", b.toString()));
-        return new Shown(day, broken, ledger.ops(), sums[0], sums[1], sums[2], sums[3], List.copyOf(startsMs),
-                List.copyOf(log), roamers, late);
+        return new FleetResult(
+                day,
+                broken,
+                ledger.ops(),
+                sums[0],
+                sums[1],
+                sums[2],
+                sums[3],
+                List.copyOf(startsMs),
+                List.copyOf(log),
+                roamers,
+                late);
     }
 
     private Future<?> prepare(int me) {
@@ -234,16 +209,20 @@
         } catch (IOException e) {
             return Future.failedFuture(e);
         }
-        Future<?> all = way(me, "clients", link.host(me), listens.get(me)).onSuccess(w -> {
-            Clients c = new Clients(vertx, ledger, chance.split(), Integer.toString(me), w.port(), BOUND_MS * MS);
-            c.gatewayIs(() -> gateways.get(me).alive());
-            c.holds(shape.crowd().connections());
-            clients.add(c);
-        }).compose(x -> world.discovery(Integer.toString(me))).compose(port -> way(me, "discovery", "127.0.0.1", port))
+        Future<?> all = way(me, "clients", link.host(me), listens.get(me))
+                .onSuccess(w -> {
+                    Clients c =
+                            new Clients(vertx, ledger, chance.split(), Integer.toString(me), w.port(), BOUND_MS * MS);
+                    c.gatewayIs(() -> gateways.get(me).alive());
+                    c.holds(shape.crowd().connections());
+                    clients.add(c);
+                })
+                .compose(x -> world.discovery(Integer.toString(me)))
+                .compose(port -> way(me, "discovery", "127.0.0.1", port))
                 .onSuccess(w -> discoveries.add(w.port()));
         for (String s : SERVERS) {
-            all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s))).onSuccess(
-                    w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
+            all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s)))
+                    .onSuccess(w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
         }
         return all;
     }
@@ -258,8 +237,16 @@
         for (int i = 0; i < day.gateways(); i++) {
             peers.add(link.address(i, me));
         }
-        GatewayConfiguration told = new GatewayConfiguration(me, link.host(me) + ":" + listens.get(me), peers, day.gateways() > 1, discoveries.get(me),
-                world.list(Integer.toString(me), true), chance.nextLong(), BOUND_MS, shape.crowd().descriptors());
+        GatewayConfiguration told = new GatewayConfiguration(
+                me,
+                link.host(me) + ":" + listens.get(me),
+                peers,
+                day.gateways() > 1,
+                discoveries.get(me),
+                world.list(Integer.toString(me), true),
+                chance.nextLong(),
+                BOUND_MS,
+                shape.crowd().descriptors());
         GatewayProcess g = gateways.get(me);
         long from = System.nanoTime();
         CompletableFuture<Void> ready = g.ended().thenCompose(x -> {
@@ -330,9 +317,13 @@
 
     private static LossyLink.Weather weather(String word) {
         double figure = word.equals("usual") ? 0 : Double.parseDouble(word.substring(word.indexOf(':') + 1));
-        return word.equals("usual") ? null : word.startsWith("loss:") ? LossyLink.Weather.losing(figure)
-                : word.startsWith("twice:") ? new LossyLink.Weather(0, figure, 20)
-                : new LossyLink.Weather(0, 0.05, (int) figure);
+        return word.equals("usual")
+                ? null
+                : word.startsWith("loss:")
+                        ? LossyLink.Weather.losing(figure)
+                        : word.startsWith("twice:")
+                                ? new LossyLink.Weather(0, figure, 20)
+                                : new LossyLink.Weather(0, 0.05, (int) figure);
     }
 
     private void server(String id, String what) {
--- a/tools/src/main/java/ploverdale/tools/lab/ReplicaTrial.java
+++ b/tools/src/main/java/ploverdale/tools/lab/ReplicaTrial.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import ploverdale.replica.Keeping;
-import ploverdale.tools.lab.ReplicaModel.TestCluster;
+import ploverdale.tools.lab.ReplicaModel.Settings;
 
 /** Runs of replicated state in simulated time: days of faults by chance, and what catching up takes. */
 public final class ReplicaTrial {
@@ -18,7 +18,8 @@
 
     /** What is kept in these runs. */
     public static Keeping keeping(int copies) {
-        return new Keeping(copies, true, 20 * SECOND, 60 * MS, 8 * SECOND, true, Set.of("put"), 100 * MS, 400_000, 50 * MS);
+        return new Keeping(
+                copies, true, 20 * SECOND, 60 * MS, 8 * SECOND, true, Set.of("put"), 100 * MS, 400_000, 50 * MS);
     }
 
     private static void faults(ReplicaModel m, SplittableRandom chance, int n, long from, long to) {
@@ -67,12 +68,14 @@
     }
 
     private static void halves(ReplicaModel m, int n, boolean cut) {
-        IntStream.range(0, n * n).filter(i -> (i / n < n / 2) != (i % n < n / 2)).forEach(i -> m.cut(i / n, i % n, cut));
+        IntStream.range(0, n * n)
+                .filter(i -> (i / n < n / 2) != (i % n < n / 2))
+                .forEach(i -> m.cut(i / n, i % n, cut));
     }
 
     /** A day of 24 s with sessions that roam and writes that are submitted up to four times, anywhere. */
     public static ReplicaModel day(int n, long seed) {
-        ReplicaModel m = new ReplicaModel(new TestCluster(n, keeping(3), 0.05, 0.05, 0.05, 10 * MS, 200_000), seed);
+        ReplicaModel m = new ReplicaModel(new Settings(n, keeping(3), 0.05, 0.05, 0.05, 10 * MS, 200_000), seed);
         SplittableRandom chance = new SplittableRandom(~seed);
         faults(m, chance, n, 2 * SECOND, 20 * SECOND);
         for (long t = SECOND; t < 24 * SECOND; t += 5 * MS) {
@@ -81,9 +84,11 @@
             m.at(t, () -> m.writes(chance.nextInt(n), session));
             m.at(t + MS, () -> m.reads(chance.nextInt(n), "s" + chance.nextInt(SESSIONS)));
             boolean runs = chance.nextInt(3) > 0;
-            m.at(t, () -> m.submits(chance.nextInt(n), id, true, chance.nextLong(300 * MS), runs, e -> { }));
+            m.at(t, () -> m.submits(chance.nextInt(n), id, true, chance.nextLong(300 * MS), runs, e -> {}));
             for (int again = 1; again < 4; again++) {
-                m.at(t + again * chance.nextLong(1, SECOND), () -> m.submits(chance.nextInt(n), id, false, 10 * MS, true, e -> { }));
+                m.at(
+                        t + again * chance.nextLong(1, SECOND),
+                        () -> m.submits(chance.nextInt(n), id, false, 10 * MS, true, e -> {}));
             }
         }
         m.until(24 * SECOND);
@@ -96,14 +101,15 @@
         public static final String HEAD = "gateways,facts,differ,after_ms,bytes_of_all,bytes_a_second_idle";
 
         public String row() {
-            return String.format(Locale.ROOT, "%d,%d,%d,%d,%d,%.0f", gateways, facts, differ, afterMs, bytes, bytesIdle);
+            return String.format(
+                    Locale.ROOT, "%d,%d,%d,%d,%d,%.0f", gateways, facts, differ, afterMs, bytes, bytesIdle);
         }
     }
 
     /** One gateway is cut off while so many facts come that it does not get; told is how long it then takes, and its bytes. */
     public static CaughtUp catchesUp(int n, int facts, int differ, double bytesPerSecond, long seed) {
         Keeping keeps = new Keeping(3, true, 600 * SECOND, 60 * MS, 0, true, Set.of("put"), 100 * MS, 400_000, 50 * MS);
-        ReplicaModel m = new ReplicaModel(new TestCluster(n, keeps, 0.05, 0, 0, 2 * MS, bytesPerSecond), seed);
+        ReplicaModel m = new ReplicaModel(new Settings(n, keeps, 0.05, 0, 0, 2 * MS, bytesPerSecond), seed);
         m.until(3 * SECOND);
         fill(m, "s", facts, n);
         settles(m);
--- a/tools/src/main/java/ploverdale/tools/lab/SmallSubmits.java
+++ b/tools/src/main/java/ploverdale/tools/lab/SmallSubmits.java
@@ -30,12 +30,13 @@
     private static final long ZERO = 17_000_000_000_000L;
     private static final long WINDOW = 5 * SECOND;
     private static final long KEY = Replicas.key(false, "w");
-    private static final Keeping KEEPING = new Keeping(GATEWAYS, false, SECOND, SECOND / 10, WINDOW, true, Set.of(), 1, 100, 100);
+    private static final Keeping KEEPING =
+            new Keeping(GATEWAYS, false, SECOND, SECOND / 10, WINDOW, true, Set.of(), 1, 100, 100);
 
     private record Message(int from, long start, int to, byte[] bytes) {}
 
     /** One course. */
-    private static final class TestCluster {
+    private static final class State {
         private final Replicas[] gateways = new Replicas[GATEWAYS];
         private final Packing[] packing = new Packing[GATEWAYS];
         private final long[] start = new long[GATEWAYS];
@@ -48,7 +49,7 @@
         private int granted;
 
         /** @param startsAsIf by which a start is taken to be longer ago than it is; more than none is a mistake that must be found */
-        private TestCluster(long startsAsIf) {
+        private State(long startsAsIf) {
             this.startsAsIf = startsAsIf;
             for (int i = 0; i < GATEWAYS; i++) {
                 starts(i, 0);
@@ -112,15 +113,21 @@
             for (Packing.Letter l : packing[i].letters(0, start[i], 1)) {
                 onTheWay.add(new Message(i, start[i], l.to(), l.bytes()));
             }
-            onTheWay.sort(Comparator.comparingInt((Message m) -> m.from * GATEWAYS + m.to).thenComparing(Message::bytes, Arrays::compare));
+            onTheWay.sort(Comparator.comparingInt((Message m) -> m.from * GATEWAYS + m.to)
+                    .thenComparing(Message::bytes, Arrays::compare));
         }
 
         private String state() {
-            StringBuilder b = new StringBuilder().append(submits).append(lost).append(restarts).append(granted);
+            StringBuilder b = new StringBuilder()
+                    .append(submits)
+                    .append(lost)
+                    .append(restarts)
+                    .append(granted);
             for (int i = 0; i < GATEWAYS; i++) {
                 b.append(" | ").append(start[i]).append(' ').append(gateways[i].told(KEY));
             }
-            onTheWay.forEach(m -> b.append(' ').append(m.from).append('>').append(m.to).append(Arrays.hashCode(m.bytes)));
+            onTheWay.forEach(
+                    m -> b.append(' ').append(m.from).append('>').append(m.to).append(Arrays.hashCode(m.bytes)));
             return b.toString();
         }
     }
@@ -136,7 +143,7 @@
             List<String> path = paths.poll();
             for (String choice : played(startsAsIf, path).choices()) {
                 courses++;
-                TestCluster w = played(startsAsIf, path);
+                State w = played(startsAsIf, path);
                 w.happens(choice);
                 List<String> longer = new ArrayList<>(path);
                 longer.add(choice);
@@ -151,8 +158,8 @@
         return new Seen(courses, seen.size(), null);
     }
 
-    private static TestCluster played(long startsAsIf, List<String> path) {
-        TestCluster w = new TestCluster(startsAsIf);
+    private static State played(long startsAsIf, List<String> path) {
+        State w = new State(startsAsIf);
         path.forEach(w::happens);
         return w;
     }
--- a/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/BudgetsRig.java
@@ -8,16 +8,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
-import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.ScheduleGenerator;
+import ploverdale.tools.fleet.Workload;
 import ploverdale.tools.stand.TestCluster;
 
 /**
@@ -69,43 +65,37 @@
         Path file;
         try {
             file = Files.createTempFile("fleet", ".json");
-            Files.writeString(file, "{\"sends_at_server\":" + WHOLE + ",\"loan_ms\":800,\"steward_ms\":1200,\"floor_share\":0.1}");
+            Files.writeString(
+                    file,
+                    "{\"sends_at_server\":" + WHOLE + ",\"loan_ms\":800,\"steward_ms\":1200,\"floor_share\":0.1}");
             with = Launch.found(List.of("--fleet", file.toString()));
             without = Launch.found(List.of());
         } catch (IOException e) {
             return List.of(new Check("gateways as processes", e.getMessage(), false));
         }
-        ExecutorService pool = Executors.newFixedThreadPool(atATime);
-        List<Future<Check>> runs = new ArrayList<>();
         int[] sums = new int[8];
-        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+        List<Check> checks = new ArrayList<>(SeedRuns.play(firstSeed, seeds, atATime, seed -> {
             FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
-            runs.add(pool.submit(() -> {
-                Out out = new Out(WHOLE);
-                Shown shown = Fleet.play(day, shape(with, out));
-                Shown plain = Fleet.play(day, shape(without, new Out(WHOLE)));
-                synchronized (sums) {
-                    add(sums, 0, shown);
-                    add(sums, 4, plain);
-                }
-                // Guards against a whole that holds because hardly anything was sent; a loaded machine costs some.
-                boolean serves = 4 * (shown.readsAcked() + shown.writesAcked()) > plain.readsAcked() + plain.writesAcked();
-                boolean holds = out.firstOver == null && shown.broken().isEmpty() && serves;
-                return new Check("seed " + day.seed() + ", " + day.steps().size() + " steps: never over " + WHOLE
-                        + " out at a server, no rule broken, a quarter served of what is without", "at most " + out.most + " out; " + shown.figures() + (holds ? ""
-                        : ", first over: " + out.firstOver + ", broken: " + shown.broken() + "\n" + day.text() + "log:\n"
-                        + String.join("\n", shown.log())), holds);
-            }));
-        }
-        List<Check> checks = new ArrayList<>();
-        for (Future<Check> r : runs) {
-            try {
-                checks.add(r.get());
-            } catch (ExecutionException e) {
-                checks.add(new Check("a day that was not played", String.valueOf(e.getCause()), false));
+            Out out = new Out(WHOLE);
+            FleetResult shown = Fleet.play(day, shape(with, out));
+            FleetResult plain = Fleet.play(day, shape(without, new Out(WHOLE)));
+            synchronized (sums) {
+                add(sums, 0, shown);
+                add(sums, 4, plain);
             }
-        }
-        pool.shutdown();
+            // Guards against a whole that holds because hardly anything was sent; a loaded machine costs some.
+            boolean serves = 4 * (shown.readsAcked() + shown.writesAcked()) > plain.readsAcked() + plain.writesAcked();
+            boolean holds = out.firstOver == null && shown.broken().isEmpty() && serves;
+            return new Check(
+                    "seed " + day.seed() + ", " + day.steps().size() + " steps: never over " + WHOLE
+                            + " out at a server, no rule broken, a quarter served of what is without",
+                    "at most " + out.most + " out; " + shown.figures()
+                            + (holds
+                                    ? ""
+                                    : ", first over: " + out.firstOver + ", broken: " + shown.broken() + "\n"
+                                            + day.text() + "log:\n" + String.join("\n", shown.log())),
+                    holds);
+        }));
         checks.add(new Check("service with budgets", figures(sums, 0), true));
         checks.add(new Check("service without", figures(sums, 4), true));
         try {
@@ -116,15 +106,15 @@
         return checks;
     }
 
-    private static Shape shape(Launch launch, TestCluster.Traffic traffic) {
+    private static Workload shape(Launch launch, TestCluster.Traffic traffic) {
         List<Double> rates = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
             rates.add(i == 0 ? MORE * OPS_PER_SECOND : OPS_PER_SECOND);
         }
-        return new Shape(launch, rates, SETTLES_MS, traffic);
+        return new Workload(launch, rates, SETTLES_MS, traffic);
     }
 
-    private static void add(int[] sums, int from, Shown s) {
+    private static void add(int[] sums, int from, FleetResult s) {
         sums[from] += s.readsAsked();
         sums[from + 1] += s.readsAcked();
         sums[from + 2] += s.writesAsked();
@@ -132,7 +122,10 @@
     }
 
     private static String figures(int[] sums, int from) {
-        return String.format(Locale.ROOT, "reads acked %.1f %%, writes %.1f %%", 100.0 * sums[from + 1] / Math.max(1, sums[from]),
+        return String.format(
+                Locale.ROOT,
+                "reads acked %.1f %%, writes %.1f %%",
+                100.0 * sums[from + 1] / Math.max(1, sums[from]),
                 100.0 * sums[from + 3] / Math.max(1, sums[from + 2]));
     }
 }
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -1,19 +1,14 @@
 package ploverdale.tools.rig;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import ploverdale.tools.fleet.FaultSchedule;
-import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.ScheduleShrinker;
+import ploverdale.tools.fleet.Workload;
 
 /**
  * Gateways as processes through drawn days of kills, stops, restarts, cut and slow ways and a silent server. A day on which
@@ -35,39 +30,30 @@
         } catch (IOException e) {
             return List.of(new Check("gateways as processes", e.getMessage(), false));
         }
-        ExecutorService pool = Executors.newFixedThreadPool(atATime);
-        List<Future<List<Check>>> runs = new ArrayList<>();
-        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+        return SeedRuns.play(firstSeed, seeds, atATime, seed -> {
             FaultSchedule day = ScheduleGenerator.day(seed, GATEWAYS, LASTS_MS, Fleet.SERVERS);
-            runs.add(pool.submit(() -> List.of(check(day, Shape.even(launch, GATEWAYS, OPS_PER_SECOND)))));
-        }
-        List<Check> checks = new ArrayList<>();
-        for (Future<List<Check>> r : runs) {
-            try {
-                checks.addAll(r.get());
-            } catch (ExecutionException e) {
-                checks.add(new Check("a day that was not played", String.valueOf(e.getCause()), false));
-            }
-        }
-        pool.shutdown();
-        return checks;
+            return check(day, Workload.even(launch, GATEWAYS, OPS_PER_SECOND));
+        });
     }
 
     /** One day, and the shortest of its like that fails, too, if it does. */
-    static Check check(FaultSchedule day, Shape shape) throws Exception {
-        Shown shown = Fleet.play(day, shape);
+    static Check check(FaultSchedule day, Workload shape) throws Exception {
+        FleetResult shown = Fleet.play(day, shape);
         String name = "seed " + day.seed() + ", " + day.steps().size() + " steps: no rule broken";
         if (shown.broken().isEmpty()) {
             return new Check(name, shown.figures(), true);
         }
         FaultSchedule shortest = new ScheduleShrinker(d -> breaks(d, shape), TRIES).of(day);
         List<String> log = shown.log();
-        return new Check(name, shown.figures() + ", broken " + shown.broken().size() + ", first " + shown.broken().get(0)
-                + "\n" + shortest.text() + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
+        return new Check(
+                name,
+                shown.figures() + ", broken " + shown.broken().size() + ", first "
+                        + shown.broken().get(0) + "\n" + shortest.text() + "log:\n"
+                        + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
                 false);
     }
 
-    private static boolean breaks(FaultSchedule day, Shape shape) {
+    private static boolean breaks(FaultSchedule day, Workload shape) {
         try {
             return !Fleet.play(day, shape).broken().isEmpty();
         } catch (Exception e) {
--- a/tools/src/main/java/ploverdale/tools/rig/Pauses.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -5,20 +5,16 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.random.RandomGenerator;
 import org.HdrHistogram.Histogram;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.fleet.FaultSchedule.What;
 import ploverdale.tools.fleet.Fleet;
-import ploverdale.tools.fleet.Fleet.Crowd;
-import ploverdale.tools.fleet.Fleet.Shape;
-import ploverdale.tools.fleet.Fleet.Shown;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.Workload;
+import ploverdale.tools.fleet.Workload.Crowd;
 
 /**
  * Gateways as processes, each paused again and again for a part of a second (as on a machine that gives them too little
@@ -34,7 +30,8 @@
     private static final long BETWEEN_LEAST_MS = 150;
     private static final long BETWEEN_MOST_MS = 600;
     private static final double OPS_PER_SECOND = 120; // of each gateway
-    private static final Crowd CROWD = new Crowd(60, 160); // idle connections end after a moment where there are over 40
+    private static final Crowd CROWD =
+            new Crowd(60, 160); // idle connections end after a moment where there are over 40
     private static final int LINES = 60; // of the log of a day that fails
 
     private Pauses() {}
@@ -46,26 +43,11 @@
         } catch (IOException e) {
             return List.of(new Check("gateways as processes", e.getMessage(), false));
         }
-        ExecutorService pool = Executors.newFixedThreadPool(atATime);
-        List<Future<Check>> runs = new ArrayList<>();
-        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            FaultSchedule day = day(seed);
-            runs.add(pool.submit(() -> check(Fleet.play(day, shape(launch)))));
-        }
-        List<Check> checks = new ArrayList<>();
-        for (Future<Check> r : runs) {
-            try {
-                checks.add(r.get());
-            } catch (ExecutionException e) {
-                checks.add(new Check("a day that was not played", String.valueOf(e.getCause()), false));
-            }
-        }
-        pool.shutdown();
-        return checks;
+        return SeedRuns.play(firstSeed, seeds, atATime, seed -> check(Fleet.play(day(seed), shape(launch))));
     }
 
-    static Shape shape(Launch launch) {
-        return Shape.even(launch, GATEWAYS, OPS_PER_SECOND).with(CROWD);
+    static Workload shape(Launch launch) {
+        return Workload.even(launch, GATEWAYS, OPS_PER_SECOND).with(CROWD);
     }
 
     /** A day of that seed, on which each gateway is paused in turn. */
@@ -84,16 +66,25 @@
         return new FaultSchedule(seed, GATEWAYS, LASTS_MS, steps);
     }
 
-    private static Check check(Shown s) {
+    private static Check check(FleetResult s) {
         Histogram late = s.late();
-        String figures = s.figures() + String.format(Locale.ROOT, ", answers after their time: p50 %.1f p99 %.1f most %.1f ms",
-                late.getValueAtPercentile(50) / 1000.0, late.getValueAtPercentile(99) / 1000.0, late.getMaxValue() / 1000.0);
+        String figures = s.figures()
+                + String.format(
+                        Locale.ROOT,
+                        ", answers after their time: p50 %.1f p99 %.1f most %.1f ms",
+                        late.getValueAtPercentile(50) / 1000.0,
+                        late.getValueAtPercentile(99) / 1000.0,
+                        late.getMaxValue() / 1000.0);
         String name = "seed " + s.day().seed() + ", " + s.day().steps().size() / 2 + " pauses: no rule broken";
         if (s.broken().isEmpty()) {
             return new Check(name, figures, true);
         }
         List<String> log = s.log();
-        return new Check(name, figures + ", broken " + s.broken().size() + ", first " + s.broken().get(0) + "\n" + s.day().text()
-                + "log:\n" + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())), false);
+        return new Check(
+                name,
+                figures + ", broken " + s.broken().size() + ", first "
+                        + s.broken().get(0) + "\n" + s.day().text() + "log:\n"
+                        + String.join("\n", log.subList(Math.max(0, log.size() - LINES), log.size())),
+                false);
     }
 }
--- a/tools/src/test/java/ploverdale/tools/lab/FleetModelTest.java
+++ b/tools/src/test/java/ploverdale/tools/lab/FleetModelTest.java
@@ -12,7 +12,7 @@
 import ploverdale.budgets.Leasing;
 import ploverdale.fleet.Membership.Standing;
 import ploverdale.tools.lab.FleetModel.Instance;
-import ploverdale.tools.lab.FleetModel.TestCluster;
+import ploverdale.tools.lab.FleetModel.Settings;
 
 /** Fleets in simulated time, through faults by chance; what is spent is counted from outside. */
 class FleetModelTest {
@@ -24,15 +24,19 @@
     private static double worst; // the most that was spent of what may be, of both budgets, on any day
 
     private static Division division(int gateways) {
-        return new Division(List.of(new Budget("tenant", Budget.Kind.RATE, 60, SECOND),
-                new Budget("server", Budget.Kind.IN_USE, 24, USE)), gateways, 0.5);
+        return new Division(
+                List.of(
+                        new Budget("tenant", Budget.Kind.RATE, 60, SECOND),
+                        new Budget("server", Budget.Kind.IN_USE, 24, USE)),
+                gateways,
+                0.5);
     }
 
-    private static TestCluster world(int gateways, Leasing leasing) {
-        return new TestCluster(division(gateways), leasing, 0.05, 0.05, 0.05, 30 * MS, 4000);
+    private static Settings world(int gateways, Leasing leasing) {
+        return new Settings(division(gateways), leasing, 0.05, 0.05, 0.05, 30 * MS, 4000);
     }
 
-    private static FleetModel started(TestCluster w, long seed) {
+    private static FleetModel started(Settings w, long seed) {
         FleetModel m = new FleetModel(w, seed);
         m.instances().forEach(i -> i.start(0));
         return m;
@@ -73,8 +77,11 @@
                     m.at(b, () -> m.cut(x, y, false));
                 }
                 case 3 -> { // two halves
-                    m.at(a, () -> IntStream.range(0, n * n).filter(i -> (i / n < n / 2) != (i % n < n / 2))
-                            .forEach(i -> m.cut(i / n, i % n, true)));
+                    m.at(
+                            a,
+                            () -> IntStream.range(0, n * n)
+                                    .filter(i -> (i / n < n / 2) != (i % n < n / 2))
+                                    .forEach(i -> m.cut(i / n, i % n, true)));
                     m.at(b, () -> IntStream.range(0, n * n).forEach(i -> m.cut(i / n, i % n, false)));
                 }
                 case 4 -> {
@@ -82,9 +89,15 @@
                     m.at(b, () -> m.loses(0.05));
                 }
                 default -> {
-                    m.at(a, () -> IntStream.range(0, n * 7 / 10).forEach(i -> m.instance(i).kill()));
-                    m.at(a + 500 * MS, () -> IntStream.range(0, n * 7 / 10).filter(i -> !m.instance(i).alive())
-                            .forEach(i -> m.instance(i).start(0)));
+                    m.at(
+                            a,
+                            () -> IntStream.range(0, n * 7 / 10)
+                                    .forEach(i -> m.instance(i).kill()));
+                    m.at(
+                            a + 500 * MS,
+                            () -> IntStream.range(0, n * 7 / 10)
+                                    .filter(i -> !m.instance(i).alive())
+                                    .forEach(i -> m.instance(i).start(0)));
                 }
             }
         }
@@ -106,7 +119,9 @@
     void neverIsMoreSpentThanTheWholeThroughFaultsByChance() {
         for (long seed = 1; seed <= 60; seed++) {
             int n = 2 + (int) (seed % 9);
-            assertThat(play(n, seed, LEASING)).as("seed %d, %d gateways", seed, n).isEmpty();
+            assertThat(play(n, seed, LEASING))
+                    .as("seed %d, %d gateways", seed, n)
+                    .isEmpty();
         }
         assertThat(worst).as("about all of the whole was used").isBetween(0.75, 1.0);
     }
@@ -115,7 +130,7 @@
     private static List<String> cutOffWithAllLent(Leasing leasing) {
         List<String> over = new ArrayList<>();
         for (long seed = 1; seed <= 30; seed++) {
-            FleetModel m = started(new TestCluster(division(4), leasing, 0.25, 0.05, 0.05, 30 * MS, 4000), seed);
+            FleetModel m = started(new Settings(division(4), leasing, 0.25, 0.05, 0.05, 30 * MS, 4000), seed);
             SplittableRandom chance = new SplittableRandom(~seed);
             for (long t = 10 * SECOND; t < 24 * SECOND; t += MS) {
                 for (int i = t < 16 * SECOND ? 3 : 0; i < 4; i++) {
@@ -123,10 +138,12 @@
                     m.at(t + chance.nextInt(10), () -> m.instance(who).spend(1, USE));
                 }
             }
-            m.at(16 * SECOND, () -> IntStream.range(0, 3).forEach(i -> {
-                m.cut(i, 3, true);
-                m.cut(3, i, true);
-            }));
+            m.at(
+                    16 * SECOND,
+                    () -> IntStream.range(0, 3).forEach(i -> {
+                        m.cut(i, 3, true);
+                        m.cut(3, i, true);
+                    }));
             m.until(24 * SECOND);
             over.addAll(m.over());
         }
@@ -136,7 +153,9 @@
     @Test
     void aLoanIsOverForTheBorrowerBeforeItIsForTheLenderByAnyClock() {
         assertThat(cutOffWithAllLent(new Leasing(4000 * MS, 3000 * MS, 0.25))).isEmpty();
-        assertThat(cutOffWithAllLent(new Leasing(4000 * MS, 3000 * MS, 0))).as("without that guard").isNotEmpty();
+        assertThat(cutOffWithAllLent(new Leasing(4000 * MS, 3000 * MS, 0)))
+                .as("without that guard")
+                .isNotEmpty();
     }
 
     @Test
@@ -150,7 +169,9 @@
         assertThat(got[0]).as("of 60 a second, 6 its own").isGreaterThan(250);
         assertThat(m.instance(0).parts(0)).isGreaterThan(24);
         m.until(24 * SECOND);
-        assertThat(m.instance(0).parts(0)).as("given back when it wants them no more").isLessThanOrEqualTo(6);
+        assertThat(m.instance(0).parts(0))
+                .as("given back when it wants them no more")
+                .isLessThanOrEqualTo(6);
         assertThat(m.parts(0)).isEqualTo(60);
         assertThat(m.parts(1)).isEqualTo(24);
     }
@@ -198,20 +219,26 @@
     @Test
     void threeHundredKnowTheDeadSoonAndNobodyElseIsTakenForDead() {
         Division d = new Division(List.of(new Budget("tenant", Budget.Kind.RATE, 900, SECOND)), 300, 0.5);
-        FleetModel m = started(new TestCluster(d, LEASING, 0.05, 0.05, 0.05, 30 * MS, 2000), 8);
+        FleetModel m = started(new Settings(d, LEASING, 0.05, 0.05, 0.05, 30 * MS, 2000), 8);
         m.until(30 * SECOND); // each is asked by somebody twice a second; all hear of all a little later
         for (Instance i : m.instances()) {
             assertThat(i.membership().present()).isGreaterThan(290);
         }
         m.instance(17).kill();
         m.until(37 * SECOND); // a round of asking, a few who look for themselves, and the news of it
-        long know = m.instances().stream().filter(i -> i.alive() && i.membership().standing(17) == Standing.GONE).count();
+        long know = m.instances().stream()
+                .filter(i -> i.alive() && i.membership().standing(17) == Standing.GONE)
+                .count();
         assertThat(know).isGreaterThan(295);
         m.until(60 * SECOND);
         for (int x = 0; x < 300; x++) {
             int of = x;
-            long wrong = m.instances().stream().filter(i -> i.alive() && i.membership().standing(of) == Standing.GONE).count();
-            assertThat(of == 17 || wrong < 3).as("n%d is taken for dead by %d", of, wrong).isTrue();
+            long wrong = m.instances().stream()
+                    .filter(i -> i.alive() && i.membership().standing(of) == Standing.GONE)
+                    .count();
+            assertThat(of == 17 || wrong < 3)
+                    .as("n%d is taken for dead by %d", of, wrong)
+                    .isTrue();
         }
     }
 
