--- /dev/null
+++ b/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
@@ -0,0 +1,83 @@
+package ploverdale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A new configuration moves discovery to an agent whose list is older or newer than what the gateway knows. */
+@Timeout(120)
+class OutdatedAgentTest {
+    private static final String ROW_7 = "row 07 ready";
+    private static final int READS = 200;
+
+    private static void moveDiscovery(Net net, FaultyDiscovery to) throws InterruptedException {
+        net.settings = told -> told.replace(
+                "\"discovery\":\"127.0.0.1:" + net.registry.port(), "\"discovery\":\"127.0.0.1:" + to.port());
+        net.renew(256);
+        long end = System.nanoTime() + Net.PATIENCE_S * 1_000_000_000L;
+        while (to.calls.get() < 2) { // its list has been read, since the watch behind it is open
+            assertThat(System.nanoTime()).as(net::log).isLessThan(end);
+            Thread.sleep(5);
+        }
+    }
+
+    private static int readsServedByR1(Net net) throws Exception {
+        Client client = net.client();
+        Server r1 = net.servers.get("r1");
+        r1.ran.clear();
+        for (int i = 0; i < READS; i++) {
+            assertThat(net.read(client)).as(net::log).isEqualTo(ROW_7);
+        }
+        return r1.ran.size();
+    }
+
+    private static void drain(Net net) {
+        net.registry.news.add(net.list(5, false, "r1:DRAINING"));
+        net.logged("server r1 listed DRAINING");
+    }
+
+    @Tag("known-red")
+    @Test
+    void anOlderListDoesNotUndoADrain() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").readable().started();
+                FaultyDiscovery behind = new FaultyDiscovery(3, net.list(3, true, "p", "r1", "r2"))) {
+            drain(net);
+            moveDiscovery(net, behind);
+            assertThat(readsServedByR1(net)).as(net::log).isZero();
+        }
+    }
+
+    @Tag("known-red")
+    @Test
+    void anOlderListDoesNotBringBackAServerThatDrainedAndWasRemoved() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").readable().started();
+                FaultyDiscovery behind = new FaultyDiscovery(3, net.list(3, true, "p", "r1", "r2"))) {
+            drain(net);
+            net.registry.news.add(net.list(6, false, "r1:DELETED"));
+            net.logged("server r1 listed GONE");
+            moveDiscovery(net, behind);
+            assertThat(readsServedByR1(net)).as(net::log).isZero();
+        }
+    }
+
+    @Test
+    void aNewerListEndsADrain() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").readable().started();
+                FaultyDiscovery ahead = new FaultyDiscovery(6, net.list(6, true, "p", "r1", "r2"))) {
+            drain(net);
+            moveDiscovery(net, ahead);
+            assertThat(readsServedByR1(net)).as(net::log).isPositive();
+        }
+    }
+
+    @Test
+    void aDrainToldByAnAgentThatIsBehindIsInForce() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").readable().started();
+                FaultyDiscovery behind = new FaultyDiscovery(0, net.list(0, true, "p", "r1:DRAINING", "r2"))) {
+            moveDiscovery(net, behind);
+            assertThat(readsServedByR1(net)).as(net::log).isZero();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/ploverdale/SkippedDrainTest.java
@@ -0,0 +1,53 @@
+package ploverdale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Removals where only a drain binds, and one may have begun and ended between two answers of discovery. */
+@Timeout(120)
+class SkippedDrainTest {
+    private static final String ROW_7 = "row 07 ready";
+    private static final int READS = 200;
+
+    private static Net started() throws Exception {
+        Net net = new Net("p", "r1", "r2").readable();
+        net.settings = told -> told.replace("\"contract\":{", "\"contract\":{\"removalNotBinding\":true,");
+        return net.started();
+    }
+
+    private static int readsServedByR1After(Net net, String update) throws Exception {
+        net.registry.asked("/registry/instances?from=1&hold_ms=2000");
+        net.registry.news.add(update);
+        net.registry.asked("/registry/instances?from=4&hold_ms=2000"); // so the update has been read
+        Client client = net.client();
+        Server r1 = net.servers.get("r1");
+        r1.ran.clear();
+        for (int i = 0; i < READS; i++) {
+            assertThat(net.read(client)).as(net::log).isEqualTo(ROW_7);
+        }
+        return r1.ran.size();
+    }
+
+    @Tag("known-red")
+    @Test
+    void aServerRemovedInAnUpdateThatSkipsRevisionsMayHaveDrainedAndGetsNothing() throws Exception {
+        try (Net net = started()) {
+            assertThat(readsServedByR1After(net, net.list(4, false, "r1:DELETED")))
+                    .as(net::log)
+                    .isZero();
+        }
+    }
+
+    @Tag("known-red")
+    @Test
+    void aServerLeftOutOfACompleteListThatSkipsRevisionsMayHaveDrainedAndGetsNothing() throws Exception {
+        try (Net net = started()) {
+            assertThat(readsServedByR1After(net, net.list(4, true, "p", "r2")))
+                    .as(net::log)
+                    .isZero();
+        }
+    }
+}
