Drains in an update of a lower revision bind, though no complete list follows

Cause: Discovery.onAnswer dropped such an update whole and asked for the complete list; an agent that fell silent then left the drain that it had written without effect. The update is put in force, older as it may be, and the complete list asked for as before. A start does not take such an update for the list that it waits for. The test in OutdatedAgentTest failed without it.

--- a/gateway/src/main/java/ploverdale/net/InitialEndpoints.java
+++ b/gateway/src/main/java/ploverdale/net/InitialEndpoints.java
@@ -29,15 +29,17 @@
         }
     }
 
-    /** Whether discovery has answered. */
+    /** Whether discovery has answered with its complete list. */
     boolean hasAnswer() {
-        return released || !heldBack.isEmpty();
+        return released || heldBack.stream().anyMatch(EndpointList::complete);
     }
 
     /** Puts in force what discovery has answered so far, and from now on each list at once. */
     void release(EndpointList configured) {
         released = true;
-        if (heldBack.isEmpty() || heldBack.get(0).revision() <= configured.revision() + 1) {
+        boolean isReplaced =
+                heldBack.stream().anyMatch(list -> list.complete() && list.revision() > configured.revision() + 1);
+        if (!isReplaced) {
             updates.accept(configured);
         }
         heldBack.forEach(updates);
--- a/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
+++ b/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
@@ -196,6 +196,7 @@
             log.often("list entries left out", String.join(", ", list.leftOut()));
         }
         if (!continuesKnownRevision(list)) {
+            listener.accept(list); // its drains and removals bind all the same
             log.line("discovery went back from revision " + revision + " to " + list.revision() + ": asks for all");
             revision = NO_REVISION;
             state = reachableState();
--- a/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
+++ b/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
@@ -59,6 +59,17 @@
         }
     }
 
+    @Test
+    void aDrainInAnUpdateOfALowerRevisionIsInForceThoughNoCompleteListFollows() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").readable().started()) {
+            net.registry.asked("/registry/instances?from=1&hold_ms=2000");
+            net.registry.mute = true; // but for the watch that is open
+            net.registry.news.add(net.list(0, false, "r1:DRAINING"));
+            net.logged("discovery went back from revision 1 to 0");
+            assertThat(readsServedByR1(net)).as(net::log).isZero();
+        }
+    }
+
     @Test
     void aLaterStartInAnOlderListEndsADrain() throws Exception {
         String started = "\"cell\":1,\"up_since_ms\":" + System.currentTimeMillis() + ",";
