The start of a removed server is dated once, so that an older list names no later one

Cause: EndpointUpdates forgot the start with the removal and converted it anew from the next list; a start that lies ahead of this machine's clock is taken as the present, so the second conversion was later than the first, and an older list returned the server as restarted. The starts of the 1,000 servers removed last are kept. The test in OutdatedAgentTest failed without it.

--- a/gateway/src/main/java/ploverdale/net/EndpointUpdates.java
+++ b/gateway/src/main/java/ploverdale/net/EndpointUpdates.java
@@ -1,6 +1,7 @@
 package ploverdale.net;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,10 +24,22 @@
     private final ServerConnectionPool servers;
     private final ServerClock serverClock;
     private final Map<ServerId, StartTime> startTimes = new HashMap<>();
+    private final RemovedStartTimes removedStartTimes = new RemovedStartTimes();
 
     /** When a server last started: in milliseconds of the wall clock, as listed, and as service time. */
     private record StartTime(long wall, long serviceTime) {}
 
+    /** Of the servers removed last, so that an older list that still names one does not seem to name a later start. */
+    private static final class RemovedStartTimes extends LinkedHashMap<ServerId, StartTime> {
+        private static final int MAX_SERVERS = 1000;
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ServerId, StartTime> eldest) {
+            return size() > MAX_SERVERS;
+        }
+    }
+
     EndpointUpdates(RouterEventLoop loop, ServerConnectionPool servers, ServerClock serverClock) {
         this.loop = loop;
         this.servers = servers;
@@ -36,7 +49,11 @@
     /** Takes a complete list, or the changes of one. */
     void onList(EndpointList list) {
         if (list.complete()) {
-            startTimes.keySet().retainAll(serverIds(list));
+            Set<ServerId> listed = serverIds(list);
+            List<ServerId> unlisted = startTimes.keySet().stream()
+                    .filter(server -> !listed.contains(server))
+                    .toList();
+            unlisted.forEach(this::removeStartTime);
         }
         List<Endpoint> endpoints = list.entries().stream()
                 .map(entry -> withStartTime(entry.endpoint()))
@@ -63,14 +80,15 @@
 
     /** The endpoint with its start as service time, the same each time that the same start is listed. */
     private Endpoint withStartTime(Endpoint endpoint) {
-        StartTime startTime = startTimes.get(endpoint.server());
-        if (startTime == null || startTime.wall() != endpoint.startedAt()) {
+        StartTime removed = removedStartTimes.remove(endpoint.server());
+        StartTime startTime = startTimes.getOrDefault(endpoint.server(), removed);
+        boolean isRemoved = endpoint.state() == Endpoint.EndpointState.GONE;
+        if (startTime == null || !isRemoved && startTime.wall() != endpoint.startedAt()) {
             startTime = new StartTime(endpoint.startedAt(), serverClock.start(endpoint.startedAt()));
         }
-        if (endpoint.state() == Endpoint.EndpointState.GONE) {
-            startTimes.remove(endpoint.server());
-        } else {
-            startTimes.put(endpoint.server(), startTime);
+        startTimes.put(endpoint.server(), startTime);
+        if (isRemoved) {
+            removeStartTime(endpoint.server());
         }
         return new Endpoint(
                 endpoint.server(),
@@ -81,11 +99,17 @@
                 startTime.serviceTime());
     }
 
+    private void removeStartTime(ServerId server) {
+        removedStartTimes.put(server, startTimes.remove(server));
+    }
+
     /** Converts all starts anew, since the offset between wall clock and service time has changed. */
     void onClockOffsetChanged() {
-        startTimes.replaceAll((server, start) -> new StartTime(start.wall(), serverClock.start(start.wall())));
         Map<ServerId, Long> startedAt = new HashMap<>();
-        startTimes.forEach((server, start) -> startedAt.put(server, start.serviceTime()));
+        for (Map<ServerId, StartTime> starts : List.of(removedStartTimes, startTimes)) {
+            starts.replaceAll((server, start) -> new StartTime(start.wall(), serverClock.start(start.wall())));
+            starts.forEach((server, start) -> startedAt.put(server, start.serviceTime()));
+        }
         loop.enqueue(new Event.ClockOffsetChanged(startedAt));
     }
 }
--- a/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
+++ b/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
@@ -59,6 +59,23 @@
         }
     }
 
+    @Test
+    void anOlderListDoesNotBringBackARemovedServerWhoseStartLiesAheadOfTheClock() throws Exception {
+        String started = "\"cell\":1,\"up_since_ms\":" + (System.currentTimeMillis() + 60_000) + ",";
+        try (Net net = new Net("p", "r1", "r2").readable();
+                FaultyDiscovery behind = new FaultyDiscovery(
+                        3, net.list(3, true, "p", "r1", "r2").replace("\"cell\":1,", started))) {
+            net.registry.whole = net.registry.whole.replace("\"cell\":1,", started);
+            net.started();
+            net.registry.news.add(net.list(5, false, "r1:DRAINING").replace("\"cell\":1,", started));
+            net.registry.news.add(net.list(6, false, "r1:DELETED").replace("\"cell\":1,", started));
+            net.logged("server r1 listed GONE");
+            moveDiscovery(net, behind);
+            assertThat(readsServedByR1(net)).as(net::log).isZero();
+            assertThat(net.log()).doesNotContain("server r1 listed IN");
+        }
+    }
+
     @Test
     void aDrainInAnUpdateOfALowerRevisionIsInForceThoughNoCompleteListFollows() throws Exception {
         try (Net net = new Net("p", "r1", "r2").readable().started()) {
