No health check is written to a server that drains by the time its connection is there

Cause: ServerConnectionPool.startHealthCheck wrote it without a look at the lifecycle, unlike requests. What is held back for it, request or health check, is logged with its server.

--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -80,7 +80,8 @@
         SplittableRandom random = new SplittableRandom(configuration.seed());
         discovery =
                 new Discovery(vertx, log, settings, configuration.discovery(), random, initialEndpoints::onList, clock);
-        GatewayActions actions = new GatewayActions(loop, clients, servers, discovery, peers, history, serverClock);
+        GatewayActions actions =
+                new GatewayActions(log, loop, clients, servers, discovery, peers, history, serverClock);
         loop.setActionHandler(actions);
         serverClock.whenChanged(this::onClockOffsetChanged);
         startup = new GatewayStartup(options, loop, clients, peers, actions);
--- a/gateway/src/main/java/ploverdale/net/GatewayActions.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayActions.java
@@ -1,6 +1,7 @@
 package ploverdale.net;
 
 import ploverdale.clock.ServerClock;
+import ploverdale.log.Log;
 import ploverdale.model.Action;
 import ploverdale.model.Event;
 import ploverdale.model.OutboundActionHandler;
@@ -21,6 +22,7 @@
  * anything about a request or a server. Used on the event loop only.
  */
 final class GatewayActions implements OutboundActionHandler {
+    private final Log log;
     private final RouterEventLoop loop;
     private final ClientConnections clients;
     private final ServerConnectionPool servers;
@@ -32,6 +34,7 @@
     private int healthChecksEnded;
 
     GatewayActions(
+            Log log,
             RouterEventLoop loop,
             ClientConnections clients,
             ServerConnectionPool servers,
@@ -39,6 +42,7 @@
             PeerTransport peers,
             RequestHistory history,
             ServerClock serverClock) {
+        this.log = log;
         this.loop = loop;
         this.clients = clients;
         this.servers = servers;
@@ -92,7 +96,7 @@
      * position it relies on may be too old or void, or its server may be draining.
      */
     private boolean mayBeWritten(Action.StartAttempt attempt, AcceptedRequest accepted, int clockChanges) {
-        if (!clients.isAwaited(accepted) || !loop.mayReceive(attempt.server())) {
+        if (!clients.isAwaited(accepted) || !mayReceive(attempt.server())) {
             return false;
         }
         if (attempt.writeBy() == Long.MAX_VALUE) {
@@ -101,6 +105,14 @@
         return serverClock.changes() == clockChanges && serverClock.now() <= attempt.writeBy();
     }
 
+    private boolean mayReceive(ServerId server) {
+        boolean isActive = loop.mayReceive(server);
+        if (!isActive) {
+            log.often("not sent", server.text() + " drains or is removed"); // log line: on-call guide
+        }
+        return isActive;
+    }
+
     private void onAttemptEnded(RequestId request, int number, ServerId server, AttemptResult end) {
         boolean hasRow = end.row() != null;
         history.attemptEnded(request, end.outcome(), hasRow);
@@ -133,7 +145,8 @@
     @Override
     public void checkHealth(Action.CheckHealth check) {
         healthChecksInFlight++;
-        servers.startHealthCheck(check.server(), end -> onHealthCheckEnded(check.server(), end));
+        ServerId server = check.server();
+        servers.startHealthCheck(server, () -> mayReceive(server), end -> onHealthCheckEnded(server, end));
     }
 
     private void onHealthCheckEnded(ServerId server, AttemptResult end) {
--- a/gateway/src/main/java/ploverdale/net/server/ServerConnectionPool.java
+++ b/gateway/src/main/java/ploverdale/net/server/ServerConnectionPool.java
@@ -112,11 +112,13 @@
     /**
      * Starts a health check, which may take as long as a connection may take to be made. On a connection that has been idle for long it
      * gets less time, and is repeated once on a new connection: the server or the network may have forgotten the old one.
+     *
+     * @param mayWrite asked right before the bytes are written; where it is false, the health check ends as never sent
      */
-    public void startHealthCheck(ServerId id, AttemptListener listener) {
+    public void startHealthCheck(ServerId id, BooleanSupplier mayWrite, AttemptListener listener) {
         GatewaySettings settings = context.settings();
         RequestEncoder encoder = timeoutMs -> MessageWriter.healthCheck(settings.reportsInHealthChecks());
-        Attempt.Work work = new Attempt.Work(() -> true, encoder, listener);
+        Attempt.Work work = new Attempt.Work(mayWrite, encoder, listener);
         Attempt healthCheck = new Attempt(context, this, null, server(id), settings.connectLimit(), work);
         healthCheck.startDeadline();
         assign(healthCheck);
--- a/gateway/src/test/java/ploverdale/DrainWhileConnectingTest.java
+++ b/gateway/src/test/java/ploverdale/DrainWhileConnectingTest.java
@@ -38,6 +38,27 @@
         }
     }
 
+    @Test
+    void aHealthCheckThatWaitedForItsConnectionIsNotWrittenToAServerThatDrainsByThen() throws Exception {
+        try (Net net = new Net("p", "r1").readable()) {
+            Server draining = net.servers.get("r1");
+            draining.holdsGreetings = new CountDownLatch(1);
+            net.started();
+            draining.connects.clear();
+            Client client = net.client();
+            while (draining.connects.isEmpty()) {
+                assertThat(net.read(client)).as(net::log).isEqualTo(ROW_7);
+                Thread.sleep(5);
+            }
+            net.registry.news.add(net.list(2, false, "r1:DRAINING"));
+            net.logged("server r1 listed DRAINING");
+            Thread.sleep(DRAIN_GRACE_MS + 100);
+            draining.holdsGreetings.countDown();
+            Thread.sleep(300); // many times what a written check takes
+            assertThat(draining.probed).as(net::log).isZero();
+        }
+    }
+
     @Test
     void whatComesWhileTheGatewayIsHeldUpAndItsServerBeginsToDrainIsForwardedWithinTheGraceOrNot() throws Exception {
         try (Net net = new Net("p", "r1", "r2").readable().started()) {
