What a former agent answers after SIGHUP is in force until the new one has answered

Cause: Discovery.follow ended the open watch at once, so a drain that the former agent wrote in that moment was dropped though it counts as told, and stayed unknown while the new agent was silent.

--- a/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
+++ b/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
@@ -58,6 +58,7 @@
     private final RandomGenerator random;
     private final Clock clock;
     private final Deque<Poll> openPolls = new ArrayDeque<>(); // the latest last
+    private final Deque<Poll> supersededPolls = new ArrayDeque<>(); // of former agents, until the present one answers
     private InetSocketAddress address;
     private State state = State.LISTING;
     private long revision = NO_REVISION;
@@ -98,10 +99,18 @@
         poll();
     }
 
-    /** Follows the list at another address from now on. */
+    /**
+     * Follows the list at another address from now on. What the former agent answers to a call that is open still counts as told, so
+     * such calls are ended only once the new agent has answered or they are overdue.
+     */
     public void follow(InetSocketAddress newAddress) {
         address = newAddress;
         backoffMs = FIRST_BACKOFF_MS;
+        supersededPolls.addAll(openPolls);
+        openPolls.clear();
+        while (supersededPolls.size() > DiscoveryClient.MAX_CONNECTIONS) {
+            supersededPolls.peekFirst().end();
+        }
         follow();
     }
 
@@ -109,6 +118,7 @@
     public void stop() {
         stopped = true;
         endOpenPolls();
+        endSupersededPolls();
         vertx.cancelTimer(nextPollTimer);
     }
 
@@ -121,6 +131,10 @@
         List.copyOf(openPolls).forEach(Poll::end);
     }
 
+    private void endSupersededPolls() {
+        List.copyOf(supersededPolls).forEach(Poll::end);
+    }
+
     private void poll() {
         vertx.cancelTimer(nextPollTimer);
         if (openPolls.size() >= DiscoveryClient.MAX_CONNECTIONS) {
@@ -138,6 +152,7 @@
     /** One call and the timer by which its answer is due. */
     private final class Poll implements DiscoveryClient.Listener {
         private final DiscoveryClient.Call call = client.newCall(this);
+        private final InetSocketAddress agent = address;
         private final boolean watch;
         private long overdueTimer;
 
@@ -147,6 +162,7 @@
 
         private void end() {
             openPolls.remove(this);
+            supersededPolls.remove(this);
             vertx.cancelTimer(overdueTimer);
             call.end();
         }
@@ -156,10 +172,17 @@
          * watch without an answer is broken.
          */
         private void onOverdue() {
-            if (watch) {
+            boolean superseded = isSuperseded();
+            if (watch || superseded) {
                 end();
             }
-            retryAfterBackoff("no answer");
+            if (!superseded) {
+                retryAfterBackoff("no answer");
+            }
+        }
+
+        private boolean isSuperseded() {
+            return supersededPolls.contains(this);
         }
 
         @Override
@@ -180,8 +203,14 @@
                 onFailure(invalid.getMessage()); // changes nothing
                 return;
             }
+            if (isSuperseded()) {
+                end();
+                putInForce(list, agent);
+                return;
+            }
             end();
             endOpenPolls(); // their answers would be as old, or older
+            endSupersededPolls();
             onAnswer(list);
         }
     }
@@ -196,27 +225,28 @@
             log.often("list entries left out", String.join(", ", list.leftOut()));
         }
         if (!continuesKnownRevision(list)) {
-            listener.accept(list); // its drains and removals bind all the same
+            putInForce(list, address); // its drains and removals bind all the same
             log.line("discovery went back from revision " + revision + " to " + list.revision() + ": asks for all");
             revision = NO_REVISION;
             state = reachableState();
             schedulePoll(FIRST_BACKOFF_MS);
             return;
         }
-        if (list.complete() || list.revision() != revision) {
-            log.line("list revision " + list.revision() + (list.complete() ? ", complete, " : ", ")
-                    + list.entries().size() + " servers, from "
-                    + address.getAddress().getHostAddress() + ":"
-                    + address.getPort()); // log line: on-call guide
-        }
         if (list.complete() || !list.entries().isEmpty() || list.revision() != revision) {
-            listener.accept(list);
+            putInForce(list, address);
         }
         revision = list.revision();
         state = reachableState();
         poll();
     }
 
+    private void putInForce(EndpointList list, InetSocketAddress agent) {
+        log.line("list revision " + list.revision() + (list.complete() ? ", complete, " : ", ")
+                + list.entries().size() + " servers, from " + agent.getAddress().getHostAddress() + ":"
+                + agent.getPort()); // log line: on-call guide
+        listener.accept(list);
+    }
+
     private State reachableState() {
         return revision < 0 ? State.LISTING : State.WATCHING;
     }
--- a/gateway/src/main/java/ploverdale/state/EndpointLifecycle.java
+++ b/gateway/src/main/java/ploverdale/state/EndpointLifecycle.java
@@ -132,7 +132,7 @@
      * @return whether the state is another than before
      */
     public boolean moveTo(EndpointState next, boolean removalBinds, long revision) {
-        drainSeen |= next == EndpointState.DRAINING;
+        drainSeen = drainSeen || next == EndpointState.DRAINING;
         boolean binds = next != EndpointState.GONE || removalBinds || drainSeen;
         if (!binds) {
             return false;
@@ -143,7 +143,7 @@
             return false;
         }
         state = next;
-        drainSeen &= next != EndpointState.IN;
+        drainSeen = drainSeen && next != EndpointState.IN;
         return true;
     }
 
--- a/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
+++ b/gateway/src/test/java/ploverdale/OutdatedAgentTest.java
@@ -87,6 +87,22 @@
         }
     }
 
+    @Test
+    void aDrainThatTheFormerAgentWritesWhileTheNewOneIsSilentIsInForce() throws Exception {
+        try (Net net = new Net("p", "r1", "r2").readable().started();
+                FaultyDiscovery silent = new FaultyDiscovery(3, net.list(3, true, "p", "r1", "r2"))) {
+            net.registry.asked("/registry/instances?from=1&hold_ms=2000");
+            silent.state = FaultyDiscovery.State.SILENT;
+            net.settings = told -> told.replace(
+                    "\"discovery\":\"127.0.0.1:" + net.registry.port(), "\"discovery\":\"127.0.0.1:" + silent.port());
+            net.renew(256);
+            net.logged("new configuration: ");
+            net.registry.news.add(net.list(2, false, "r1:DRAINING"));
+            net.logged("server r1 listed DRAINING");
+            assertThat(readsServedByR1(net)).as(net::log).isZero();
+        }
+    }
+
     @Test
     void aLaterStartInAnOlderListEndsADrain() throws Exception {
         String started = "\"cell\":1,\"up_since_ms\":" + System.currentTimeMillis() + ",";
