rig soak: drains, removals and returns under restarts, outdated, slow and silent agents

The ledger counts drains by what agents write and by what they have when a process starts, and takes an older list for no news.

--- a/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
@@ -29,8 +29,12 @@
         WAY(3),
         /** Datagrams in one direction (from, to, loss:SHARE or twice:SHARE or delay:MS or usual). */
         WORDS(3),
-        /** A database server (id, a fault, or heals, restarts or drains). */
-        SERVER(2);
+        /** A database server (id, a fault, or heals, restarts, drains, removes or returns). */
+        SERVER(2),
+        /** A new configuration that names another agent, and SIGHUP (gateway, agent). */
+        HANG_UP(2),
+        /** A discovery agent (gateway, agent, a {@link DiscoveryAgent.State} or delay:MS or trickle:MS). */
+        AGENT(3);
 
         private final int words;
 
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -15,7 +15,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import ploverdale.clock.Clock;
@@ -62,6 +61,7 @@
     private final List<Long> startsMs = Collections.synchronizedList(new ArrayList<>());
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private final long began = System.nanoTime();
+    private final DiscoveryAgents agents;
     private LossyLink link;
     private RoamingClients roamers;
 
@@ -88,6 +88,7 @@
         world = new TestCluster(vertx, model, ledger, SERVERS, LIST_LATE_MS);
         world.traffic(shape.traffic());
         world.hearsLists(g -> !cutOff.getOrDefault(g, false));
+        agents = new DiscoveryAgents(vertx, world, ledger);
     }
 
     /** Plays a day; waits for its end. */
@@ -217,9 +218,7 @@
                     c.holds(shape.crowd().connections());
                     clients.add(c);
                 })
-                .compose(x -> world.discovery(Integer.toString(me)))
-                .compose(port -> way(me, "discovery", "127.0.0.1", port))
-                .onSuccess(w -> discoveries.add(w.port()));
+                .compose(x -> shape.ownAgents() ? agents.open(Integer.toString(me)) : discovery(me));
         for (String s : SERVERS) {
             all = all.compose(x -> way(me, s, "127.0.0.1", world.port(s)))
                     .onSuccess(w -> world.seenAt(Integer.toString(me), s, ((FaultyLink) w).port()));
@@ -227,39 +226,57 @@
         return all;
     }
 
+    private Future<Void> discovery(int me) {
+        return world.discovery(Integer.toString(me))
+                .compose(port -> way(me, "discovery", "127.0.0.1", port))
+                .onSuccess(w -> discoveries.add(w.port()))
+                .mapEmpty();
+    }
+
     private Future<FaultyLink> way(int me, String end, String host, int port) {
         return FaultyLink.open(vertx, host, port).onSuccess(w -> ways.put("n" + me + " " + end, w));
     }
 
-    /** Starts a gateway, also again, once an earlier process of its name has ended. */
-    private Future<Void> up(int me) {
+    private GatewayConfiguration configuration(int me) {
         List<String> peers = new ArrayList<>();
         for (int i = 0; i < day.gateways(); i++) {
             peers.add(link.address(i, me));
         }
-        GatewayConfiguration told = new GatewayConfiguration(
+        String name = Integer.toString(me);
+        return new GatewayConfiguration(
                 me,
                 link.host(me) + ":" + listens.get(me),
                 peers,
                 day.gateways() > 1,
-                discoveries.get(me),
-                world.list(Integer.toString(me), true),
+                shape.ownAgents() ? agents.port(name) : discoveries.get(me),
+                shape.ownAgents() ? agents.firstList(name) : world.list(name, true),
                 random.nextLong(),
                 BOUND_MS,
                 shape.crowd().descriptors());
+    }
+
+    /** Starts a gateway, also again, once an earlier process of its name has ended. */
+    private Future<Void> up(int me) {
         GatewayProcess g = gateways.get(me);
         long from = System.nanoTime();
-        CompletableFuture<Void> ready = g.ended().thenCompose(x -> {
-            try {
-                return g.start(told.json());
-            } catch (IOException e) {
-                return CompletableFuture.failedFuture(e);
-            }
-        });
-        return Future.fromCompletionStage(ready, vertx.getOrCreateContext()).onSuccess(x -> {
-            startsMs.add((System.nanoTime() - from) / 1_000_000);
-            ledger.answersAgain(Integer.toString(me), Clock.system().now());
-        });
+        return Future.fromCompletionStage(g.ended(), vertx.getOrCreateContext())
+                .compose(x -> start(me, g))
+                .onSuccess(x -> {
+                    startsMs.add((System.nanoTime() - from) / 1_000_000);
+                    ledger.answersAgain(Integer.toString(me), Clock.system().now());
+                });
+    }
+
+    private Future<Void> start(int me, GatewayProcess g) {
+        GatewayConfiguration told = configuration(me);
+        if (shape.ownAgents()) {
+            agents.processStarts(Integer.toString(me));
+        }
+        try {
+            return Future.fromCompletionStage(g.start(told.json()), vertx.getOrCreateContext());
+        } catch (IOException e) {
+            return Future.failedFuture(e);
+        }
     }
 
     private void happens(Step s) {
@@ -285,6 +302,11 @@
                 case WAY -> way(me, w.get(1), w.get(2));
                 case WORDS -> link.weather(me, Integer.parseInt(w.get(1).substring(1)), weather(w.get(2)));
                 case SERVER -> server(w.get(0), w.get(1));
+                case AGENT -> agents.behave(Integer.toString(me), w.get(1), w.get(2));
+                case HANG_UP -> {
+                    agents.follow(Integer.toString(me), w.get(1));
+                    gateways.get(me).hangUp(configuration(me).json());
+                }
                 default -> throw new IllegalStateException(s.toString());
             }
         } catch (IOException | InterruptedException | RuntimeException e) {
@@ -331,6 +353,8 @@
             case "heals" -> world.heals(id, false);
             case "restarts" -> world.heals(id, true);
             case "drains" -> world.drains(id);
+            case "removes" -> world.removes(id);
+            case "returns" -> world.returns(id);
             default -> world.fault(id, Fault.valueOf(what));
         }
     }
--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,6 +28,7 @@
     private final Launch launch;
     private final BiConsumer<String, String> log;
     private Process process;
+    private Path configurationFile;
     private boolean killed;
     private CompletableFuture<Void> ready;
 
@@ -91,6 +93,7 @@
         Process p = new ProcessBuilder(line).redirectErrorStream(true).start();
         CompletableFuture<Void> up = new CompletableFuture<>();
         process = p;
+        configurationFile = file;
         killed = false;
         ready = up;
         Thread reader = new Thread(() -> read(p, up, file), "log-of-" + name);
@@ -154,6 +157,15 @@
         signal("TERM");
     }
 
+    /** SIGHUP, with a new configuration in its file. */
+    public void hangUp(String configuration) throws IOException, InterruptedException {
+        if (alive()) {
+            Path next = Files.writeString(Files.createTempFile("gateway-" + name, ".next"), configuration);
+            Files.move(next, configurationFile, StandardCopyOption.REPLACE_EXISTING);
+            signal("HUP");
+        }
+    }
+
     /** SIGSTOP: stands still, and no timer of it runs. */
     public void stop() throws IOException, InterruptedException {
         signal("STOP");
--- a/tools/src/main/java/ploverdale/tools/fleet/Workload.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Workload.java
@@ -14,6 +14,7 @@
  * @param settlesMs between the moment at which all serve and the first op; the day begins with the first op
  * @param roams how clients with sessions ask beside those, or null
  * @param crowd of client connections at each gateway
+ * @param ownAgents whether each gateway has two discovery agents of its own, and starts with the list of the day's beginning
  */
 public record Workload(
         Launch launch,
@@ -21,7 +22,8 @@
         long settlesMs,
         TestCluster.Traffic traffic,
         RoamingClients.Habit roams,
-        Crowd crowd) {
+        Crowd crowd,
+        boolean ownAgents) {
     /** The same with as few connections as serve. */
     public Workload(
             Launch launch,
@@ -29,7 +31,7 @@
             long settlesMs,
             TestCluster.Traffic traffic,
             RoamingClients.Habit roams) {
-        this(launch, requestsPerSecond, settlesMs, traffic, roams, Crowd.NONE);
+        this(launch, requestsPerSecond, settlesMs, traffic, roams, Crowd.NONE, false);
     }
 
     /** The same without clients that roam. */
@@ -39,7 +41,12 @@
 
     /** The same with this crowd. */
     public Workload with(Crowd others) {
-        return new Workload(launch, requestsPerSecond, settlesMs, traffic, roams, others);
+        return new Workload(launch, requestsPerSecond, settlesMs, traffic, roams, others, ownAgents);
+    }
+
+    /** The same with two discovery agents for each gateway. */
+    public Workload withOwnAgents() {
+        return new Workload(launch, requestsPerSecond, settlesMs, traffic, roams, crowd, true);
     }
 
     /** All gateways are asked as much, from the beginning. */
--- a/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
+++ b/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
@@ -82,6 +82,7 @@
     private final Map<String, Integer> applied = new HashMap<>();
     private final Map<String, Long> sessions = new HashMap<>(); // by session, the position of its last acked write
     private final Map<String, Long> drainingSince = new HashMap<>(); // by gateway and server
+    private final Map<String, Integer> outOfServiceRevisions = new HashMap<>(); // the same; the highest that told so
     private final Map<String, Integer> sends = new HashMap<>(); // of writes, by gateway and server
     private final Map<String, List<Excuse>> excuses = new HashMap<>(); // by gateway
     private final List<Broken> broken = new ArrayList<>();
@@ -278,6 +279,27 @@
         drainingSince.putIfAbsent(gateway + " " + server, at);
     }
 
+    /** A gateway was told by a list of this revision that a server drains or is removed. */
+    public void toldOutOfService(String gateway, String server, int revision, long at) {
+        toldOfDrain(gateway, server, at);
+        outOfServiceRevisions.merge(gateway + " " + server, revision, Math::max);
+    }
+
+    /** A gateway was told by a list of this revision that a server is in service; an older list than that of the drain says nothing. */
+    public void toldInService(String gateway, String server, int revision) {
+        String key = gateway + " " + server;
+        if (outOfServiceRevisions.getOrDefault(key, Integer.MAX_VALUE) < revision) {
+            outOfServiceRevisions.remove(key);
+            drainingSince.remove(key);
+        }
+    }
+
+    /** A new process has been told nothing yet. */
+    public void forgetsLists(String gateway) {
+        outOfServiceRevisions.keySet().removeIf(key -> key.startsWith(gateway + " "));
+        drainingSince.keySet().removeIf(key -> key.startsWith(gateway + " "));
+    }
+
     /** A cold server has fallen over. */
     public void fell(String server) {
         breaks(Rule.NO_COLD_PUSHED_OVER, server + " was pushed over");
--- a/tools/src/main/java/ploverdale/tools/rig/Rigs.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Rigs.java
@@ -29,6 +29,8 @@
             new Rig("gateways as processes, through days of kills, stops, restarts and cut ways", Faults::play),
             "replicas",
             new Rig("sessions that roam and writes submitted again, through days of faults", ReplicasRig::play),
+            "soak",
+            new Rig("gateways as processes, through days of drains, restarts and agents that lie behind", Soak::play),
             "tier",
             new Rig("what hundreds of instances tell one another, in simulated time", Tier::play),
             "warm-start",
--- a/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
+++ b/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
@@ -52,6 +52,7 @@
     private final List<Waiting> watches = new ArrayList<>();
     private final Map<String, String> phase = new HashMap<>(); // as discovery tells it
     private final Map<String, Long> startedAt = new HashMap<>();
+    private final List<Runnable> listListeners = new ArrayList<>();
     private int revision = 1;
     private int probes;
 
@@ -62,6 +63,19 @@
 
     private record Waiting(HttpServerResponse to, String gateway) {}
 
+    /** What the list says of a server; one that was removed is DELETED. */
+    public record ListedServer(String id, String phase, long startedAtMs) {
+        /** Whether it may get new requests. */
+        public boolean isServing() {
+            return phase.equals("SERVING");
+        }
+
+        /** Whether a complete list names it. */
+        public boolean isListed() {
+            return !phase.equals("DELETED");
+        }
+    }
+
     public TestCluster(Vertx vertx, GroupModel model, Ledger ledger, List<String> ids, long listLateMs) {
         this.vertx = vertx;
         this.model = model;
@@ -151,21 +165,37 @@
     public String list(String gateway, boolean complete) {
         StringBuilder b =
                 new StringBuilder("{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[");
-        for (String id : ids) {
-            b.append(b.charAt(b.length() - 1) == '[' ? "" : ",")
-                    .append("{\"id\":\"")
-                    .append(id)
-                    .append("\",\"host_port\":\"127.0.0.1:")
-                    .append(seenAt.getOrDefault(gateway + " " + id, ports.get(id)))
-                    .append("\",\"locality\":\"here\",\"cell\":0,\"phase\":\"")
-                    .append(phase.get(id))
-                    .append("\",\"rank\":\"")
-                    .append(id.equals(ids.get(0)) ? "source" : "copy")
-                    .append("\",\"up_since_ms\":")
-                    .append(startedAt.get(id))
-                    .append('}');
-        }
-        return b.append("]}").toString();
+        List<String> entries = listed().stream()
+                .filter(ListedServer::isListed)
+                .map(server -> entry(gateway, server))
+                .toList();
+        return b.append(String.join(",", entries)).append("]}").toString();
+    }
+
+    /** The list's entry of a server, as this gateway is told. */
+    public String entry(String gateway, ListedServer server) {
+        String id = server.id();
+        return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:"
+                + seenAt.getOrDefault(gateway + " " + id, ports.get(id))
+                + "\",\"locality\":\"here\",\"cell\":0,\"phase\":\"" + server.phase() + "\",\"rank\":\""
+                + (id.equals(ids.get(0)) ? "source" : "copy") + "\",\"up_since_ms\":" + server.startedAtMs() + "}";
+    }
+
+    /** All servers that were ever listed. */
+    public List<ListedServer> listed() {
+        return ids.stream()
+                .map(id -> new ListedServer(id, phase.get(id), startedAt.get(id)))
+                .toList();
+    }
+
+    /** The list's count of changes. */
+    public int revision() {
+        return revision;
+    }
+
+    /** Runs this after each change of the list. */
+    public void whenListChanges(Runnable listener) {
+        listListeners.add(listener);
     }
 
     private void listLater(Runnable change) {
@@ -175,6 +205,7 @@
             List<Waiting> all = List.copyOf(watches);
             watches.clear();
             all.forEach(w -> tell(w.to(), w.gateway(), false));
+            listListeners.forEach(Runnable::run);
         });
     }
 
@@ -202,6 +233,18 @@
         listLater(() -> phase.put(id, "DRAINING"));
     }
 
+    /** It is gone, and discovery tells so, late. */
+    public void removes(String id) {
+        fault(id, Fault.REFUSING);
+        listLater(() -> phase.put(id, "DELETED"));
+    }
+
+    /** It is started anew under its id; discovery tells so, late. */
+    public void returns(String id) {
+        heals(id, true);
+        listLater(() -> phase.put(id, "SERVING"));
+    }
+
     public int probes() {
         return probes;
     }
--- a/tools/src/test/java/ploverdale/tools/ledger/LedgerTest.java
+++ b/tools/src/test/java/ploverdale/tools/ledger/LedgerTest.java
@@ -132,6 +132,31 @@
         broken().containsExactly(Rule.NOTHING_TO_DRAINING);
     }
 
+    @Test
+    void anOlderListEndsNoDrainAndANewerOneDoes() {
+        ledger.toldOutOfService("0", "r", 5, 1000);
+        ledger.toldInService("0", "r", 3);
+        taken("a", READ);
+        ledger.sent("a", "r", 8000);
+        ledger.answered("a", Answer.ACKED, 8100);
+        broken().containsExactly(Rule.NOTHING_TO_DRAINING);
+        ledger.toldInService("0", "r", 6);
+        taken("b", READ);
+        ledger.sent("b", "r", 8200);
+        ledger.answered("b", Answer.ACKED, 8300);
+        broken().containsExactly(Rule.NOTHING_TO_DRAINING);
+    }
+
+    @Test
+    void aNewProcessHasBeenToldOfNoDrain() {
+        ledger.toldOutOfService("0", "r", 5, 1000);
+        ledger.forgetsLists("0");
+        taken("a", READ);
+        ledger.sent("a", "r", 8000);
+        ledger.answered("a", Answer.ACKED, 8100);
+        broken().isEmpty();
+    }
+
     @Test
     void aReadFromDataTooOldAndAColdServerPushedOver() {
         taken("a", READ);
