Ledger: a request sent on before its gateway was killed may still arrive

Traced: n1 is killed at 2784 ms while its way to s-third has a delay of 44 ms; the client's connection ends at once and the ledger forgets the request, whose bytes, written before the kill, arrive after that. Such a request is kept without owing an answer; all other rules still hold for it, and one that crosses the end at a living gateway must not arrive, as before (LedgerTest, failed before).

--- a/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
+++ b/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
@@ -143,22 +143,33 @@
         return excuses.getOrDefault(e.gateway, List.of()).stream().anyMatch(x -> x.covers(e));
     }
 
-    /** Its connection was ended between ops, and this one crossed that: not taken, unless it was sent on. */
+    /**
+     * Its connection was ended between ops, and this one crossed that: not taken, unless it was sent on. A gateway that was killed may
+     * have sent it on just before, on a way that takes a while.
+     */
     public void crossed(String request) {
         Entry e = requests.get(request);
-        if (e != null && !e.sent) {
+        if (e == null || e.sent) {
+            return;
+        }
+        if (isDown(e)) {
+            e.left = true;
+        } else {
             requests.remove(request);
         }
     }
 
+    private boolean isDown(Entry e) {
+        return excuses.getOrDefault(e.gateway, List.of()).stream().anyMatch(x -> !x.paused && x.covers(e));
+    }
+
     /**
      * The gateway, which lives, ended a connection at that time with this op on it and no answer. That breaks a rule where the
      * op was sent on, or had come so long before that the gateway could have read it; otherwise it crossed the end.
      */
     public void endedUnanswered(String request, long at) {
         Entry e = requests.get(request);
-        boolean excused = excuses.getOrDefault(e.gateway, List.of()).stream().anyMatch(x -> !x.paused && x.covers(e));
-        if (!excused && (e.sent || at - e.takenAt > CROSSING)) {
+        if (!isDown(e) && (e.sent || at - e.takenAt > CROSSING)) {
             breaks(
                     Rule.ONE_ANSWER_IN_TIME,
                     request + " lost its connection " + (at - e.takenAt) / 10 + " ms after it was written"
--- a/tools/src/test/java/ploverdale/tools/ledger/LedgerTest.java
+++ b/tools/src/test/java/ploverdale/tools/ledger/LedgerTest.java
@@ -147,6 +147,19 @@
         broken().containsExactly(Rule.NOTHING_TO_DRAINING);
     }
 
+    @Test
+    void aRequestThatCrossedAnEndMayArriveLateOnlyFromAKilledGateway() {
+        taken("a", READ);
+        ledger.crossed("a");
+        ledger.sent("a", "r", 10);
+        broken().containsExactly(Rule.NO_EFFECT_TWICE);
+        taken("b", READ);
+        ledger.excused("0", 0);
+        ledger.crossed("b");
+        ledger.sent("b", "r", 10);
+        broken().containsExactly(Rule.NO_EFFECT_TWICE);
+    }
+
     @Test
     void aNewProcessHasBeenToldOfNoDrain() {
         ledger.toldOutOfService("0", "r", 5, 1000);
