--- a/tools/src/main/java/ploverdale/tools/fleet/DiscoveryAgent.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/DiscoveryAgent.java
@@ -11,8 +11,8 @@
 import java.util.Map;
 import ploverdale.clock.Clock;
 import ploverdale.tools.ledger.Ledger;
+import ploverdale.tools.stand.ListedServer;
 import ploverdale.tools.stand.TestCluster;
-import ploverdale.tools.stand.TestCluster.ListedServer;
 
 /**
  * One discovery agent of one gateway: a copy of the registry's list, which may be behind, and answers that may be late, slow or
--- a/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
+++ b/tools/src/main/java/ploverdale/tools/stand/TestCluster.java
@@ -63,19 +63,6 @@
 
     private record Waiting(HttpServerResponse to, String gateway) {}
 
-    /** What the list says of a server; one that was removed is DELETED. */
-    public record ListedServer(String id, String phase, long startedAtMs) {
-        /** Whether it may get new requests. */
-        public boolean isServing() {
-            return phase.equals("SERVING");
-        }
-
-        /** Whether a complete list names it. */
-        public boolean isListed() {
-            return !phase.equals("DELETED");
-        }
-    }
-
     public TestCluster(Vertx vertx, GroupModel model, Ledger ledger, List<String> ids, long listLateMs) {
         this.vertx = vertx;
         this.model = model;
