StartBeforeDiscoveryAnswersTest listens below the ports that clients are given

Cause: the test's clients connect without a pause to a free port of the range that the system gives to clients (32768 to 60999); one of them met itself there and occupied the port. Nothing the test asks for has changed.

--- a/gateway/src/test/java/ploverdale/StartBeforeDiscoveryAnswersTest.java
+++ b/gateway/src/test/java/ploverdale/StartBeforeDiscoveryAnswersTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +25,8 @@
 class StartBeforeDiscoveryAnswersTest {
     private static final String ROW_7 = "row 07 ready";
     private static final int CLIENTS = 4;
+    private static final int LEAST_PORT = 20_000;
+    private static final int MOST_PORT = 30_000;
     private static final long READY_WITHIN_MS = 10_000; // of the process's start
 
     @TempDir
@@ -55,9 +58,15 @@
         return gateway;
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+    /** Below the ports that systems give to clients: a client that connects to one of those may meet itself and occupy it. */
+    private static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, MOST_PORT);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (IOException occupied) {
+                Thread.onSpinWait();
+            }
         }
     }
 
