--- a/review/standin/PipelinedAnswers.java
+++ b/review/standin/PipelinedAnswers.java
@@ -79,6 +79,7 @@
         Standin.Server server = connection.server;
         Thread.sleep(8);
         long now = System.currentTimeMillis();
+        run.record.line("op " + query.id() + " taken by " + server.id);
         if (query.write() && !server.primary) {
             connection.error("25006", "not the primary", now - 8);
         } else {
@@ -122,6 +123,7 @@
             for (int n = 0; n < READS_IN_BATCH; n++) {
                 commands.writeBytes(Standin.query(Standin.read("build-" + n, "r" + number + "-" + n, "status-read", 1200, 0)));
             }
+            run.record.line("batch " + number + " sent");
             client.send(commands.toByteArray());
             asked.addAndGet(left);
             StringBuilder kinds = new StringBuilder();
--- a/review/standin/RepeatAfterWindow.java
+++ b/review/standin/RepeatAfterWindow.java
@@ -160,6 +160,7 @@
             if (client == null) {
                 client = new Standin.Client(gateway.address);
             }
+            run.record.line("op " + id + " sent");
             client.send(Standin.query(Standin.write("pupil-" + number, "9f03", id, "submit", 3000, number % 2)));
             Standin.Answer answer = client.nextAnswer(4000);
             run.record.line("op " + id + " answered: " + answer);
