--- a/review/standin/PipelinedAnswers.java
+++ b/review/standin/PipelinedAnswers.java
@@ -75,7 +75,8 @@
         run.record.tell("s-2 is the primary now");
     }
 
-    private void onQuery(Standin.ServerConnection connection, Standin.Query query) throws IOException, InterruptedException {
+    private void onQuery(Standin.ServerConnection connection, Standin.Query query)
+            throws IOException, InterruptedException {
         Standin.Server server = connection.server;
         Thread.sleep(8);
         long now = System.currentTimeMillis();
@@ -83,7 +84,8 @@
         if (query.write() && !server.primary) {
             connection.error("25006", "not the primary", now - 8);
         } else {
-            connection.row(query.write() ? new byte[] {'b'} : VALUE, query.write() ? "INSERT 0 1" : "SELECT 1", now - (server.primary ? 0 : 8));
+            byte[] value = query.write() ? new byte[] {(byte) 1} : VALUE;
+            connection.row(value, query.write() ? "INSERT 0 1" : "SELECT 1", now - (server.primary ? 0 : 8));
         }
     }
 
--- a/review/standin/RepeatAfterWindow.java
+++ b/review/standin/RepeatAfterWindow.java
@@ -93,12 +93,14 @@
         }
     }
 
-    private void onQuery(Standin.ServerConnection connection, Standin.Query query) throws java.io.IOException, InterruptedException {
+    private void onQuery(Standin.ServerConnection connection, Standin.Query query)
+            throws java.io.IOException, InterruptedException {
         long arrived = System.currentTimeMillis();
         Standin.Server server = connection.server;
         if (!query.write()) {
             Thread.sleep(20);
-            connection.row("v".getBytes(StandardCharsets.UTF_8), "SELECT 1", System.currentTimeMillis() - (server.primary ? 0 : 8));
+            long position = arrived - (server.primary ? 0 : 8);
+            connection.row("v".getBytes(StandardCharsets.UTF_8), "SELECT 1", position);
             return;
         }
         if (!server.primary) {
@@ -110,7 +112,8 @@
             long since = arrived - before;
             if (since > WINDOW_MS + SLACK_MS) {
                 ranTwice.incrementAndGet();
-                run.record.tell("op " + query.id() + " came again " + since + " ms after its first send: it ran twice");
+                run.record.tell(
+                        "op " + query.id() + " came again " + since + " ms after its first send: it ran twice");
             } else {
                 repeatsDropped.incrementAndGet();
                 run.record.line("op " + query.id() + " came again after " + since + " ms, dropped as a repeat");
--- a/review/standin/SecondCopy.java
+++ b/review/standin/SecondCopy.java
@@ -119,7 +119,8 @@
         return 10 + random.nextInt(20);
     }
 
-    private void onQuery(Standin.ServerConnection connection, Standin.Query query) throws IOException, InterruptedException {
+    private void onQuery(Standin.ServerConnection connection, Standin.Query query)
+            throws IOException, InterruptedException {
         Thread.sleep(workMs());
         byte[] value = Arrays.copyOf(query.id().getBytes(StandardCharsets.UTF_8), 2000);
         long position = System.currentTimeMillis() - (connection.server.primary ? 0 : 8);
--- a/review/standin/SessionAfterRepeat.java
+++ b/review/standin/SessionAfterRepeat.java
@@ -135,7 +135,8 @@
 
     // -- The database servers
 
-    private void onQuery(Standin.ServerConnection connection, Standin.Query query) throws IOException, InterruptedException {
+    private void onQuery(Standin.ServerConnection connection, Standin.Query query)
+            throws IOException, InterruptedException {
         Standin.Server server = connection.server;
         Thread.sleep(query.write() ? WORK_MS : 10);
         if (!query.write()) {
