Review: each script opens its record.txt itself and names it

Cause: the records were written by the stand-ins that the cases share, so nothing in a case's folder showed it; a run that could not start left none, and one that was killed left an empty one.

--- a/review/standin/Standin.java
+++ b/review/standin/Standin.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -38,13 +39,24 @@
 
     // -- The record
 
-    /** Writes record.txt, one line an event, with milliseconds since the start. */
+    /** Appends to a record.txt, one line an event, with milliseconds since the start. A killed run leaves it too. */
     static final class Record implements Closeable {
         private final PrintWriter out;
         private final long startNanos = System.nanoTime();
 
         Record(Path file) throws IOException {
-            out = new PrintWriter(Files.newBufferedWriter(file), false);
+            out = new PrintWriter(
+                    Files.newBufferedWriter(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND), false);
+            daemon("record", () -> {
+                while (true) {
+                    Thread.sleep(200);
+                    flush();
+                }
+            });
+        }
+
+        private synchronized void flush() {
+            out.flush();
         }
 
         synchronized void line(String text) {
@@ -58,6 +70,7 @@
         /** Writes a line to the record and to standard output. */
         void tell(String text) {
             line(text);
+            flush();
             System.out.println(text);
         }
 
@@ -682,12 +695,12 @@
     }
 
     /** Runs a case from the root of the repository; exits with 1 if the rule was broken, 0 if it held, 2 otherwise. */
-    static void main(String caseFolder, Case test) throws Exception {
+    static void main(String recordFile, Case test) throws Exception {
         Path root = Path.of("").toAbsolutePath();
         Path folder = Files.createTempDirectory("review");
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
-        Record record = new Record(root.resolve(caseFolder).resolve("record.txt"));
+        Record record = new Record(Path.of(recordFile));
         Run run = new Run(root, folder, record, trouble);
         Thread watchdog = daemon("watchdog", () -> {
             Thread.sleep(112_000);
@@ -695,7 +708,7 @@
             end(run);
             Runtime.getRuntime().halt(2);
         });
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> closeAll(run)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(run)));
         try {
             record.tell(trouble ? "with the disruption" : "without the disruption");
             boolean holds = test.holds(run);
