Count answers that wait behind an unanswered command, and limit them to 8 MB

Cause: RequestPipeline runs up to eight commands of a connection at once, and complete answers wait in PendingResponse for earlier ones. MemoryBudget counted a request until it was answered and an answer only when its client did not read, so these answers were counted nowhere.

Change: each response behind the first of its pipeline takes memory from the budget, the largest response while it is awaited and its own size once it is complete. While 8 MB are used for that, or the whole budget, a connection's next command runs when those before it are answered; the first always runs. The log has "answers wait for earlier ones".

Tests: PipelinedAnswersMemoryTest (a gateway process with the deployment's heap) failed before: its process ended. RequestPipelineTest: memory in any order of events.

--- a/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
@@ -25,7 +25,7 @@
     private final long readTimeoutMs;
     private final ServiceStatus status = new ServiceStatus();
     private final SessionRegistry sessions = new SessionRegistry();
-    private final MemoryBudget memory = new MemoryBudget();
+    private final MemoryBudget memory;
     private final CancelRegistry cancels = new CancelRegistry();
     private final LingeringClose lingeringClose;
     private final InFlightRequests inFlight;
@@ -45,6 +45,7 @@
         this.limits = limits;
         this.clock = clock;
         this.readTimeoutMs = readTimeoutMs(settings);
+        this.memory = new MemoryBudget(log);
         this.lingeringClose = new LingeringClose(vertx, log, limits, status);
         this.inFlight = new InFlightRequests(log, eventLoop, memory);
         this.acceptor = new RequestAcceptor(eventLoop, settings, limits, clock, inFlight);
--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -16,7 +16,7 @@
     private final SocketInput input;
     private final MessageDecoder decoder;
     private final InputQueue queue;
-    private final RequestPipeline pipeline = new RequestPipeline();
+    private final RequestPipeline pipeline;
     private final ResponseWriter writer;
     private final SessionMessageHandler messageHandler;
     private final CancelRegistry.BackendKey backendKey;
@@ -30,6 +30,7 @@
         this.input = new SocketInput(socket, runtime.nowMs());
         this.decoder = new MessageDecoder(runtime.memory());
         this.queue = new InputQueue(runtime.memory());
+        this.pipeline = new RequestPipeline(runtime.memory());
         this.writer = new ResponseWriter(runtime, socket, this::processInput, this::close);
         this.messageHandler = new SessionMessageHandler(runtime, this);
         this.backendKey = runtime.cancels().register(this);
@@ -349,11 +350,7 @@
         }
         boolean outputEnded = NioSockets.shutdownOutputNow(socket);
         release();
-        if (outputEnded) {
-            runtime.lingeringClose().discardInput(socket);
-        } else {
-            runtime.lingeringClose().close(socket);
-        }
+        runtime.lingeringClose().closeIdle(socket, outputEnded);
         return true;
     }
 
--- a/gateway/src/main/java/ploverdale/net/client/LingeringClose.java
+++ b/gateway/src/main/java/ploverdale/net/client/LingeringClose.java
@@ -54,8 +54,21 @@
         discardInput(socket);
     }
 
+    /**
+     * Closes a connection on which nothing remains to be sent. Call once per socket.
+     *
+     * @param outputEnded whether its output has been shut down already
+     */
+    void closeIdle(NetSocket socket, boolean outputEnded) {
+        if (outputEnded) {
+            discardInput(socket);
+        } else {
+            close(socket);
+        }
+    }
+
     /** Discards the input of a connection whose output has been shut down, and closes it after a time limit. */
-    void discardInput(NetSocket socket) {
+    private void discardInput(NetSocket socket) {
         lingering.add(socket);
         DiscardedInput discarded = new DiscardedInput(socket);
         socket.handler(discarded::onBytes);
