Check the window of repeats again right before a retry is written

Cause: RetryPolicy.mayAttempt looks at the window when a retry is decided. The retry then waits for a connection for up to the connect timeout, and the last check before the write, GatewayActions.mayBeWritten, had a latest time for bounded reads only: RequestDispatcher.writeBy returned Long.MAX_VALUE for writes.

Change: an attempt carries a WriteDeadline: the end of the window of its request's first possible run, the age of the replica's position, or the earlier of both. Only deadlines computed from a position become void when the servers' clock is corrected.

RetryPolicyTest: two retries have the deadline of the first attempt.

--- a/gateway/src/main/java/ploverdale/model/Action.java
+++ b/gateway/src/main/java/ploverdale/model/Action.java
@@ -13,10 +13,11 @@
      * Forward a request to a server.
      *
      * @param timeLimit how long to wait for the answer, from now
-     * @param writeBy the latest time at which the request may be written to the server; matters if a connection has to
-     *     be established first
+     * @param writeDeadline until when the request may be written to the server; matters if a connection has to be
+     *     established first
      */
-    record StartAttempt(RequestId request, ServerId server, long timeLimit, long writeBy) implements Action {
+    record StartAttempt(RequestId request, ServerId server, long timeLimit, WriteDeadline writeDeadline)
+            implements Action {
         @Override
         public void dispatchTo(ActionHandler handler) {
             handler.startAttempt(this);
--- a/gateway/src/main/java/ploverdale/net/GatewayActions.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayActions.java
@@ -7,6 +7,7 @@
 import ploverdale.model.OutboundActionHandler;
 import ploverdale.model.RequestId;
 import ploverdale.model.ServerId;
+import ploverdale.model.WriteDeadline;
 import ploverdale.net.client.AcceptedRequest;
 import ploverdale.net.client.ClientConnections;
 import ploverdale.net.discovery.Discovery;
@@ -93,17 +94,24 @@
 
     /**
      * Returns whether the attempt may still be written. It may have waited for a connection. Meanwhile its client may
-     * have disconnected, its server may be draining, or the server's position that the router relied on may have become
-     * too old, or invalid because the clock was corrected.
+     * have disconnected, its server may be draining, its write deadline may have passed, or the server's position that
+     * the router relied on may have become invalid because the clock was corrected.
      */
     private boolean mayBeWritten(Action.StartAttempt attempt, AcceptedRequest accepted, int clockChanges) {
-        if (!clients.isAwaited(accepted) || !mayReceive(attempt.server())) {
-            return false;
+        return clients.isAwaited(accepted) && mayReceive(attempt.server()) && isInTime(attempt, clockChanges);
+    }
+
+    private boolean isInTime(Action.StartAttempt attempt, int clockChanges) {
+        WriteDeadline deadline = attempt.writeDeadline();
+        boolean positionIsValid = !deadline.reliesOnPosition() || serverClock.offsetChanges() == clockChanges;
+        boolean inTime = positionIsValid && deadline.isMet(serverClock.now());
+        if (!inTime) {
+            log.rateLimited(
+                    "not sent in time",
+                    "a request waited too long for a connection to "
+                            + attempt.server().value()); // log line: on-call guide
         }
-        if (attempt.writeBy() == Long.MAX_VALUE) {
-            return true;
-        }
-        return serverClock.offsetChanges() == clockChanges && serverClock.now() <= attempt.writeBy();
+        return inTime;
     }
 
     private boolean mayReceive(ServerId server) {
--- a/gateway/src/test/java/ploverdale/routing/RetryPolicyTest.java
+++ b/gateway/src/test/java/ploverdale/routing/RetryPolicyTest.java
@@ -2,14 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import ploverdale.model.Action;
 import ploverdale.model.Event;
 import ploverdale.model.Event.Outcome;
 import ploverdale.model.RequestId;
+import ploverdale.model.Ticks;
+import ploverdale.model.WriteDeadline;
 
 /** Tests through the router when a failed attempt is retried and when its request fails. */
 class RetryPolicyTest {
+    private static final WriteDeadline NO_DEADLINE = new WriteDeadline(Long.MAX_VALUE, false);
+
     private final RouterDriver driver = RouterDriver.withCaughtUpReplicas();
 
     @Test
@@ -61,6 +66,35 @@
         assertThat(driver.failures(write)).isEqualTo(1);
     }
 
+    /** Guards against a repeat that is written after its group has forgotten it, having waited for a connection. */
+    @Test
+    void aWriteThatMayHaveRunMustBeWrittenAgainWithinTheWindowOfItsFirstAttempt() {
+        long firstAttemptAt = driver.nowMs * Ticks.ofMillis(1);
+        long windowEnd = firstAttemptAt + TestRouterSettings.IDEMPOTENCY_WINDOW - RequestDeadlines.DEADLINE_MARGIN;
+        RequestId write = driver.request(TestRouterSettings.WRITE_WITH_IDEMPOTENCY_KEY);
+        driver.nowMs += 700;
+        driver.attemptEnded(write, 0, "p", Outcome.FAILED, null);
+        driver.nowMs += 700;
+        driver.attemptEnded(write, 1, "p", Outcome.FAILED, null);
+        assertThat(writeDeadlines(write))
+                .containsExactly(NO_DEADLINE, new WriteDeadline(windowEnd, false), new WriteDeadline(windowEnd, false));
+    }
+
+    @Test
+    void aWriteThatCannotHaveRunMayBeWrittenAgainAtAnyTime() {
+        RequestId write = driver.request(TestRouterSettings.WRITE_WITH_IDEMPOTENCY_KEY);
+        driver.attemptEnded(write, 0, "p", Outcome.NEVER_SENT, null);
+        assertThat(writeDeadlines(write)).containsExactly(NO_DEADLINE, NO_DEADLINE);
+    }
+
+    private List<WriteDeadline> writeDeadlines(RequestId request) {
+        return driver.actions.stream()
+                .filter(action -> action instanceof Action.StartAttempt start
+                        && start.request().equals(request))
+                .map(action -> ((Action.StartAttempt) action).writeDeadline())
+                .toList();
+    }
+
     @Test
     void aRequestWhoseClientDisconnectedIsCancelledAndNotRetried() {
         RequestId read = driver.request(TestRouterSettings.BOUNDED_READ);
--- a/gateway/src/test/java/ploverdale/routing/StalenessFilterTest.java
+++ b/gateway/src/test/java/ploverdale/routing/StalenessFilterTest.java
@@ -8,6 +8,7 @@
 import ploverdale.model.LoadReport.Role;
 import ploverdale.model.ReplicaGuarantees;
 import ploverdale.model.RequestId;
+import ploverdale.model.WriteDeadline;
 
 /** Tests through the router which replicas are fresh enough for a read. */
 class StalenessFilterTest {
@@ -101,12 +102,12 @@
                 .orElseThrow();
         assertThat(readAttempt.server().value()).startsWith("r");
         // The router takes a position to be up to a millisecond earlier than reported.
-        assertThat(readAttempt.writeBy()).isEqualTo(100_000 * 10 - 10 + 5000);
+        assertThat(readAttempt.writeDeadline()).isEqualTo(new WriteDeadline(100_000 * 10 - 10 + 5000, true));
         RequestId write = freshDriver.request(TestRouterSettings.WRITE);
         assertThat(freshDriver.actions.stream()
                         .filter(action -> action instanceof Action.StartAttempt start
                                 && start.request().equals(write))
-                        .map(action -> ((Action.StartAttempt) action).writeBy()))
-                .containsExactly(Long.MAX_VALUE);
+                        .map(action -> ((Action.StartAttempt) action).writeDeadline()))
+                .containsExactly(new WriteDeadline(Long.MAX_VALUE, false));
     }
 }
--- a/gateway/src/test/java/ploverdale/routing/TestRouterSettings.java
+++ b/gateway/src/test/java/ploverdale/routing/TestRouterSettings.java
@@ -20,6 +20,8 @@
     static final int FRESH_READ = 5;
     static final int LONG_READ = 6;
 
+    static final long IDEMPOTENCY_WINDOW = 20_000;
+
     private static final long LATENCY_OBJECTIVE = 5000;
     private static final long LONG_LATENCY_OBJECTIVE = 20_000;
 
@@ -94,7 +96,7 @@
                 30_000,
                 idempotence,
                 RequestClass.Scope.GROUP,
-                20_000,
+                IDEMPOTENCY_WINDOW,
                 consistency == Consistency.WRITE ? 6 : 2,
                 lateValue,
                 false,
