Release the value of an answer once its attempt is completed

A connection to a server kept the value of its last answer, up to 64 KiB, until its next request, and no budget counts it: over 40 MB at some 680 connections.

Cause: ServerProtocol holds the ServerResponse until the next request is written, for its rejection and its number of notices, and the value with it.

Change: ServerConnection.completeAttempt releases the value.

Test: ServerConnectionPoolTest.anIdleConnectionKeepsNothingOfItsLastAnswer failed before: the value was not collected within 8 s while its connection was idle.

--- a/gateway/src/main/java/ploverdale/net/server/ServerConnection.java
+++ b/gateway/src/main/java/ploverdale/net/server/ServerConnection.java
@@ -274,6 +274,7 @@
         } else {
             answered.complete(Outcome.SUCCEEDED, response.row(), answerReport, loadReport);
         }
+        response.releaseValue();
     }
 
     // -- Closing
--- a/gateway/src/main/java/ploverdale/net/server/ServerResponse.java
+++ b/gateway/src/main/java/ploverdale/net/server/ServerResponse.java
@@ -115,6 +115,11 @@
         return new ResultRow(column, value.bytes(), completion.tag());
     }
 
+    /** Releases the value, which may be large, once the answer has been used. */
+    void releaseValue() {
+        value = null;
+    }
+
     /** Returns the parameters by name; never null. To be read only. */
     Map<String, String> parameters() {
         return parameters;
--- a/gateway/src/test/java/ploverdale/net/server/ServerConnectionPoolTest.java
+++ b/gateway/src/test/java/ploverdale/net/server/ServerConnectionPoolTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.net.NetSocket;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.lang.ref.WeakReference;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -145,6 +146,28 @@
         assertThat(openConnections()).isEqualTo(1);
     }
 
+    /** Guards against large answers that stay in memory for as long as the connections on which they came are idle. */
+    @Test
+    void anIdleConnectionKeepsNothingOfItsLastAnswer() throws Exception {
+        createPoolWithServer(socket -> socket.write(ROW));
+        CompletableFuture<WeakReference<byte[]>> value = new CompletableFuture<>();
+        onEventLoop(() -> pool.startAttempt(
+                REQUEST,
+                SERVER,
+                LONG_TIMEOUT_TICKS,
+                () -> true,
+                timeoutMs -> MessageWriter.query("SELECT 1"),
+                result -> value.complete(new WeakReference<>(result.row().value()))));
+        WeakReference<byte[]> answer = value.get(TIMEOUT_S, TimeUnit.SECONDS);
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S);
+        while (!answer.refersTo(null)) {
+            assertThat(System.nanoTime()).as("the answer is released").isLessThan(endNanos);
+            System.gc();
+            Thread.sleep(10);
+        }
+        assertThat(openConnections()).isEqualTo(1);
+    }
+
     @Test
     void cancellingAnAttemptClosesItsConnection() throws Exception {
         CompletableFuture<Void> queried = new CompletableFuture<>();
