--- a/gateway/src/test/java/ploverdale/PipelinedAnswersMemoryTest.java
+++ b/gateway/src/test/java/ploverdale/PipelinedAnswersMemoryTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Guards against a gateway that runs out of memory while a primary is silent: answers to reads wait in the pipelines of
+ * Regression test for a gateway that ran out of memory while a primary is silent: answers to reads wait in the pipelines of
  * many clients behind an unanswered write, and together they are larger than the heap of the deployment.
  */
 @Timeout(120)
--- a/gateway/src/test/java/ploverdale/RepeatWindowTest.java
+++ b/gateway/src/test/java/ploverdale/RepeatWindowTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Guards against a write with an idempotency key that runs twice: its connection is lost, its retry waits for another
+ * Regression test for a write with an idempotency key that ran twice: its connection is lost, its retry waits for another
  * connection, and that is established after the servers' window for repeats.
  */
 @Timeout(120)
--- a/gateway/src/test/java/ploverdale/net/client/RequestPipelineTest.java
+++ b/gateway/src/test/java/ploverdale/net/client/RequestPipelineTest.java
@@ -35,7 +35,7 @@
                 .toList();
     }
 
-    /** Guards against answers that wait behind an unanswered request and are counted nowhere. */
+    /** Regression test for answers that wait behind an unanswered request and are counted nowhere. */
     @Test
     void completeResponsesThatWaitForEarlierOnesAreCountedUntilTheyAreTaken() {
         RequestPipeline pipeline = new RequestPipeline(memory);
--- a/gateway/src/test/java/ploverdale/net/server/ServerConnectionPoolTest.java
+++ b/gateway/src/test/java/ploverdale/net/server/ServerConnectionPoolTest.java
@@ -146,7 +146,7 @@
         assertThat(openConnections()).isEqualTo(1);
     }
 
-    /** Guards against large answers that stay in memory for as long as the connections on which they came are idle. */
+    /** Regression test for large answers that stayed in memory for as long as the connections on which they came are idle. */
     @Test
     void anIdleConnectionKeepsNothingOfItsLastAnswer() throws Exception {
         createPoolWithServer(socket -> socket.write(ROW));
--- a/gateway/src/test/java/ploverdale/routing/RetryPolicyTest.java
+++ b/gateway/src/test/java/ploverdale/routing/RetryPolicyTest.java
@@ -66,7 +66,7 @@
         assertThat(driver.failures(write)).isEqualTo(1);
     }
 
-    /** Guards against a repeat that is written after its group has forgotten it, having waited for a connection. */
+    /** Regression test for a repeat that was written after its group has forgotten it, having waited for a connection. */
     @Test
     void aWriteThatMayHaveRunMustBeWrittenAgainWithinTheWindowOfItsFirstAttempt() {
         long firstAttemptAt = driver.nowMs * Ticks.ofMillis(1);
