--- a/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
@@ -31,6 +31,7 @@
     private final InFlightRequests inFlight;
     private final RequestAcceptor acceptor;
     private final SessionEvictor evictor;
+    private final InputTimes inputTimes;
 
     ClientRuntime(
             Vertx vertx,
@@ -50,6 +51,7 @@
         this.inFlight = new InFlightRequests(log, eventLoop, memory);
         this.acceptor = new RequestAcceptor(eventLoop, settings, limits, clock, inFlight);
         this.evictor = new SessionEvictor(log, limits, clock, status, memory);
+        this.inputTimes = new InputTimes(log, clock.clock());
     }
 
     private static long readTimeoutMs(GatewaySettings settings) {
@@ -121,4 +123,8 @@
     SessionEvictor evictor() {
         return evictor;
     }
+
+    InputTimes inputTimes() {
+        return inputTimes;
+    }
 }
--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -66,6 +66,7 @@
             return;
         }
         handlingBytes = true;
+        runtime.inputTimes().begin();
         try {
             decoder.feed(bytes);
             processInput();
@@ -73,6 +74,7 @@
             runtime.log().fault("client connection fault", failure);
             close();
         } finally {
+            runtime.inputTimes().end(bytes.length());
             handlingBytes = false;
         }
         if (runtime.status().isClosingIdle()) {
