A rig of floods that other clients must not feel, known to fail

It checks the ledger's rules, that no attempt begins more than 0.1 s after its client left, and peak memory.

--- a/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Collectors;
+import ploverdale.tools.stand.FloodForm;
 
 /**
  * A timed list of the faults of one run. Its text form has one line per step, so that a schedule can be kept, shortened by
@@ -39,7 +40,12 @@
         /** Writes settings that name another discovery agent and sends SIGHUP (gateway, agent). */
         HANG_UP(2),
         /** Changes a discovery agent (gateway, agent, a {@link DiscoveryAgent.State} or delay:MS or trickle:MS). */
-        AGENT(3);
+        AGENT(3),
+        /**
+         * Starts clients that send one form of message at full speed (gateway, a {@link FloodForm}, clients, duration in
+         * milliseconds, "read" or "unread" for what becomes of the answers, bytes that a connection sends at most).
+         */
+        FLOOD(6);
 
         private final int argumentCount;
 
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -6,6 +6,7 @@
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -19,11 +20,13 @@
 import org.HdrHistogram.Histogram;
 import ploverdale.clock.Clock;
 import ploverdale.tools.fleet.FaultSchedule.Step;
+import ploverdale.tools.ledger.FloodLedger;
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.model.GroupModel;
 import ploverdale.tools.model.GroupParameters;
 import ploverdale.tools.model.ServerModel.Fault;
 import ploverdale.tools.stand.Clients;
+import ploverdale.tools.stand.FloodClients;
 import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.LossyLink;
 import ploverdale.tools.stand.ReconnectingClients;
@@ -62,6 +65,8 @@
     private final Workload workload;
     private final SplittableRandom random;
     private final Ledger ledger = new Ledger(DRAIN_GRACE_MS * MS);
+    private final FloodLedger floodLedger = new FloodLedger();
+    private final FloodClients floods = new FloodClients(floodLedger);
     private final TestCluster cluster;
     private final List<GatewayProcess> gateways = new ArrayList<>();
     private final List<Integer> listenPorts = new ArrayList<>();
@@ -75,6 +80,7 @@
     private final DiscoveryAgents agents;
     private LossyLink peerLink; // carries the datagrams between gateways
     private ReconnectingClients reconnectingClients;
+    private long peakMemoryKb; // the highest of all gateways
 
     private Fleet(Vertx vertx, FaultSchedule schedule, Workload workload) {
         this.vertx = vertx;
@@ -98,11 +104,18 @@
         GroupModel model = new GroupModel(
                 parameters, random.split(), SERVERS, Clock.system().now(), (now, what) -> note("cluster", what));
         cluster = new TestCluster(vertx, model, ledger, SERVERS, LIST_DELAY_MS);
-        cluster.setRequestListener(workload.traffic());
+        cluster.setRequestListener(this::onRequest);
         cluster.setDiscoveryReachable(g -> !cutOffFromDiscovery.getOrDefault(g, false));
         agents = new DiscoveryAgents(vertx, cluster, ledger);
     }
 
+    private void onRequest(String request, String server, long now, boolean started) {
+        workload.traffic().onRequest(request, server, now, started);
+        if (started && FloodLedger.isFloodRequest(request)) {
+            floodLedger.attemptReceived(request, now);
+        }
+    }
+
     /** Runs a schedule and waits for its end. Kills the gateways that it started, also if it fails. */
     public static FleetResult run(FaultSchedule schedule, Workload workload) throws Exception {
         Vertx vertx = Vertx.vertx(
@@ -181,6 +194,7 @@
                     vertx.setTimer(LAST_ANSWERS_MS, y -> answered.tryComplete());
                     return answered.future();
                 })
+                .onComplete(x -> gateways.forEach(g -> peakMemoryKb = Math.max(peakMemoryKb, g.peakMemoryKb())))
                 .compose(x -> Future.all(gateways.stream()
                         .map(g -> Future.fromCompletionStage(g.kill(), vertx.getOrCreateContext()))
                         .toList()))
@@ -200,7 +214,8 @@
             sums[2] += c.tally(true, false).requests();
             sums[3] += c.tally(true, false).succeeded();
         }
-        List<Ledger.Broken> broken = ledger.close(Clock.system().now());
+        List<Ledger.Broken> broken = new ArrayList<>(ledger.close(Clock.system().now()));
+        broken.addAll(floodLedger.broken());
         broken.forEach(b -> note("ledger", b.toString()));
         return new FleetResult(
                 schedule,
@@ -213,7 +228,8 @@
                 List.copyOf(startDurationsMs),
                 List.copyOf(log),
                 reconnectingClients,
-                lateness);
+                lateness,
+                peakMemoryKb / 1024);
     }
 
     /** Opens the links of a gateway and creates its clients and its process, which is not started yet. */
@@ -329,9 +345,16 @@
                 case WAY -> changeLink(number, arguments.get(1), arguments.get(2));
                 case WORDS ->
                     peerLink.setConditions(
-                            number, Integer.parseInt(arguments.get(1).substring(1)), linkConditions(arguments.get(2)));
+                            number,
+                            Integer.parseInt(arguments.get(1).substring(1)),
+                            LossyLink.Conditions.parse(arguments.get(2)));
                 case SERVER -> changeServer(arguments.get(0), arguments.get(1));
                 case AGENT -> agents.change(Integer.toString(number), arguments.get(1), arguments.get(2));
+                case FLOOD ->
+                    floods.start(
+                            FloodClients.Flood.parse(arguments.subList(1, arguments.size())),
+                            new InetSocketAddress(peerLink.host(number), listenPorts.get(number)),
+                            random.nextLong());
                 case HANG_UP -> {
                     agents.follow(Integer.toString(number), arguments.get(1));
                     gateways.get(number).reload(settings(number).json());
@@ -366,18 +389,6 @@
         }
     }
 
-    /** Parses the last argument of {@link FaultSchedule.Action#WORDS}; null stands for the link's usual conditions. */
-    private static LossyLink.Conditions linkConditions(String change) {
-        double value = change.equals("usual") ? 0 : Double.parseDouble(change.substring(change.indexOf(':') + 1));
-        return change.equals("usual")
-                ? null
-                : change.startsWith("loss:")
-                        ? LossyLink.Conditions.withLoss(value)
-                        : change.startsWith("twice:")
-                                ? new LossyLink.Conditions(0, value, 20)
-                                : new LossyLink.Conditions(0, 0.05, (int) value);
-    }
-
     private void changeServer(String id, String change) {
         switch (change) {
             case "heals" -> cluster.recoverServer(id, false);
--- a/tools/src/main/java/ploverdale/tools/fleet/FleetResult.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FleetResult.java
@@ -16,6 +16,7 @@
  * @param log all log lines of the run, with their times and sources
  * @param reconnectingClients null if the workload has none
  * @param lateness by how much answers exceeded their timeouts, 0 for those in time, in microseconds
+ * @param peakMemoryMb the largest resident memory of a gateway that ran at the end of the run
  */
 public record FleetResult(
         FaultSchedule schedule,
@@ -28,7 +29,8 @@
         List<Long> startDurationsMs,
         List<String> log,
         ReconnectingClients reconnectingClients,
-        Histogram lateness) {
+        Histogram lateness,
+        long peakMemoryMb) {
     /** Returns the counts and start durations as one line. */
     public String figures() {
         return String.format(
--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -26,6 +26,9 @@
     /** Part of the log line that a gateway writes when it serves clients. */
     private static final String READY = " listens at ";
 
+    /** The line of the process's status that has its largest resident memory in KiB. */
+    private static final String PEAK_MEMORY = "VmHWM:";
+
     private final String name;
     private final Launch launch;
     private final BiConsumer<String, String> log;
@@ -148,6 +151,19 @@
         return process.pid();
     }
 
+    /** Returns the largest resident memory of the process so far, or 0 if it does not run. */
+    long peakMemoryKb() {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + pid() + "/status")).stream()
+                    .filter(line -> line.startsWith(PEAK_MEMORY))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                    .findAny()
+                    .orElse(0);
+        } catch (IOException e) {
+            return 0; // the process has ended
+        }
+    }
+
     /** Sends SIGKILL; completes when the process has ended and its resources are released. */
     public CompletableFuture<Void> kill() {
         killed = true;
--- a/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
+++ b/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
@@ -231,6 +231,9 @@
     /** Called when a complete attempt has arrived at a server. */
     public void attemptReceived(String request, String server, long at) {
         Entry entry = requests.get(request);
+        if (entry == null && FloodLedger.isFloodRequest(request)) {
+            return;
+        }
         if (entry == null) {
             addViolation(Rule.NO_EFFECT_TWICE, "a request that no client sent: " + request);
             return;
--- a/tools/src/main/java/ploverdale/tools/rig/Rigs.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Rigs.java
@@ -32,6 +32,8 @@
             new Rig("gateway processes that are paused while clients hold many connections", Pauses::play),
             "faults",
             new Rig("gateway processes under random kills, pauses, restarts and broken links", Faults::play),
+            "floods",
+            new Rig("gateway processes under clients that send invalid or small messages at full speed", Floods::play),
             "replicas",
             new Rig("sessions that change gateways and resubmitted writes, under random faults", ReplicasRig::play),
             "soak",
--- a/tools/src/main/java/ploverdale/tools/stand/LossyLink.java
+++ b/tools/src/main/java/ploverdale/tools/stand/LossyLink.java
@@ -26,6 +26,18 @@
         public static Conditions withLoss(double loss) {
             return new Conditions(loss, 0.05, 20);
         }
+
+        /** Parses loss:SHARE, twice:SHARE or delay:MS; returns null, for the default conditions, if it is "usual". */
+        public static Conditions parse(String change) {
+            if (change.equals("usual")) {
+                return null;
+            }
+            double value = Double.parseDouble(change.substring(change.indexOf(':') + 1));
+            if (change.startsWith("loss:")) {
+                return withLoss(value);
+            }
+            return change.startsWith("twice:") ? new Conditions(0, value, 20) : new Conditions(0, 0.05, (int) value);
+        }
     }
 
     private static final AtomicInteger RUNS = new AtomicInteger();
--- /dev/null
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -0,0 +1,41 @@
+package ploverdale.tools.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import ploverdale.tools.fleet.FaultSchedule;
+import ploverdale.tools.fleet.Fleet;
+import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.stand.FloodForm;
+
+/** Floods of a few seconds; longer series are started by hand with {@code rig floods --seeds 50}. */
+@Tag("known-red")
+@Timeout(300)
+class FloodsTest {
+    private static final int SEEDS = 6;
+
+    @ParameterizedTest
+    @EnumSource
+    void otherClientsAreAnsweredInTimeWhileClientsSendOneFormAtFullSpeed(FloodForm form) throws Exception {
+        FaultSchedule schedule = FaultSchedule.read("""
+                day seed=1 gateways=1 lasts=3000
+                500 flood n0 %s 6 800 read 9000000000
+                1600 flood n0 %s 6 800 unread 9000000000
+                """.formatted(form, form));
+        Check check = Floods.check(Fleet.run(schedule, Floods.workload(Launch.locate(List.of()), schedule)));
+        assertThat(check.holds()).as("%s", check).isTrue();
+    }
+
+    @Test
+    void otherClientsAreAnsweredInTimeAndMemoryIsBoundedUnderRandomFloods() throws Exception {
+        List<Check> checks = Floods.play(1, SEEDS, 2);
+        assertThat(checks)
+                .hasSize(SEEDS)
+                .allSatisfy(check -> assertThat(check.holds()).as("%s", check).isTrue());
+    }
+}
