Pause a client's input at its channel, where nothing is buffered or leaked

What callers saw: beside a flood, answers 0.5 s and more late or never, also after the flood; or the process ended out of heap memory.

Cause: SocketInput and LingeringClose paused with Vert.x's NetSocket.pause. That reads on until eight messages are pending, up to 1 MiB a connection in no budget, and drops them unreleased if the connection is closed while paused (VertxConnection.checkAutoRead and addPending, by javap). Once the 16 MB of direct memory are gone, each allocation waits 0.55 s in the JDK before it fails, and the loop with it.

Change: both switch off automatic reads of the channel, which takes effect within the read.

--- a/gateway/src/main/java/ploverdale/net/client/LingeringClose.java
+++ b/gateway/src/main/java/ploverdale/net/client/LingeringClose.java
@@ -115,7 +115,7 @@
             bytes += received.length();
             logDiscarded(received.length());
             if (exceedsLimit()) {
-                socket.pause();
+                NioSockets.stopReading(socket);
             }
         }
 
--- a/gateway/src/main/java/ploverdale/net/client/SocketInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SocketInput.java
@@ -42,9 +42,9 @@
         }
         paused = shouldPause;
         if (shouldPause) {
-            socket.pause();
+            NioSockets.stopReading(socket);
         } else {
-            socket.resume();
+            NioSockets.resumeReading(socket);
         }
     }
 
--- a/gateway/src/main/java/ploverdale/net/eventloop/NioSockets.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/NioSockets.java
@@ -50,11 +50,19 @@
         return channel(socket).isOpen();
     }
 
-    /** Stops reading: what arrives from now on stays in the operating system's buffer. */
+    /**
+     * Stops reading at once: what arrives from now on stays in the operating system's buffer. Vert.x's own pause reads
+     * on until it has buffered eight messages, and never releases these if the connection is closed meanwhile.
+     */
     public static void stopReading(NetSocket socket) {
         channel(socket).config().setAutoRead(false);
     }
 
+    /** Reads again after {@link #stopReading}. */
+    public static void resumeReading(NetSocket socket) {
+        channel(socket).config().setAutoRead(true);
+    }
+
     /**
      * Shuts down the output at once.
      *
--- a/tools/src/main/java/ploverdale/tools/rig/Floods.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Floods.java
@@ -57,7 +57,8 @@
         if (result.broken().isEmpty() && withinMemory) {
             return new Check(name, figures, true);
         }
-        List<String> log = result.log();
+        List<String> log =
+                result.log().stream().filter(line -> !line.contains(" ledger ")).toList();
         String first =
                 result.broken().isEmpty() ? "none" : result.broken().get(0).toString();
         return new Check(
