Send no request of a client behind whose input a close may be unread

Cause: SocketInput.isFresh took any read within 20 ms for a look at the end of the connection, but a read that fills its buffer leaves the rest, and the close behind it, in the operating system.

If there is still more, the request is answered at once: rejected if nothing was written for it, failed otherwise.

--- a/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
+++ b/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
@@ -38,6 +38,11 @@
         return attempts++;
     }
 
+    /** Returns whether at most one attempt has been started. */
+    boolean isFirstAttempt() {
+        return attempts <= 1;
+    }
+
     RequestId id() {
         return id;
     }
--- a/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
@@ -123,11 +123,19 @@
     /**
      * Returns whether the client of a request still waits for the response; called right before an attempt is written.
      * If the connection has not been read recently (for a retry, a queued request, or after a process pause), it is
-     * read first, to detect a client that has closed it.
+     * read first, to detect a client that has closed it. If it cannot be read to its end, because the client sends
+     * faster than its share, the request is answered with an error: its client may have gone.
      */
     public boolean isAwaited(AcceptedRequest request) {
         InFlightRequests inFlight = runtime.inFlight();
-        return inFlight.contains(request) && !request.session().isClosedByClient() && inFlight.contains(request);
+        if (!inFlight.contains(request) || request.session().isClosedByClient() || !inFlight.contains(request)) {
+            return false;
+        }
+        if (request.session().hasUnreadInput()) {
+            inFlight.endForUnreadInput(request);
+            return false;
+        }
+        return true;
     }
 
     /** Answers a request with the row that a server returned. */
--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -104,6 +104,11 @@
         return isClosed();
     }
 
+    /** Returns whether more may have arrived than has been read; then a close by the client may be unread, too. */
+    boolean hasUnreadInput() {
+        return socketInput.hasUnreadInput();
+    }
+
     /** Returns whether the connection is closed or being closed. */
     boolean isClosed() {
         return input.isClosed();
--- a/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
+++ b/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
@@ -93,6 +93,20 @@
         eventLoop.enqueue(new Event.ClientDisconnected(id));
     }
 
+    /**
+     * Answers a request whose client may have closed the connection behind input that is not read yet: rejects it if no
+     * attempt has been written, otherwise fails it.
+     */
+    void endForUnreadInput(AcceptedRequest request) {
+        log.rateLimited("request not sent", "its client sends faster than it is read"); // log line: on-call guide
+        eventLoop.enqueue(new Event.ClientDisconnected(request.id())); // prevents a second answer by the router
+        if (request.isFirstAttempt()) {
+            reject(request.id(), 0);
+        } else {
+            fail(request.id());
+        }
+    }
+
     /** Fails all requests that the router has left unanswered for too long after their timeout, whatever the cause. */
     void failOverdue(long nowMs) {
         List<AcceptedRequest> overdue = requests.values().stream()
--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -28,7 +28,7 @@
 
     /** Takes received bytes, and runs them now or when it is the session's turn. */
     void onBytes(Buffer bytes) {
-        socket.onBytes(bytes, runtime.nowMs());
+        socket.onBytes(runtime.nowMs());
         if (!state.decodesInput()) {
             runtime.lingeringClose().logDiscarded(bytes.length());
             return;
--- a/gateway/src/main/java/ploverdale/net/client/SocketInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SocketInput.java
@@ -1,6 +1,5 @@
 package ploverdale.net.client;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import ploverdale.net.eventloop.NioSockets;
 
@@ -17,7 +16,6 @@
     private final NetSocket socket;
     private boolean paused;
     private long lastReadAtMs;
-    private long bytesReceived;
 
     SocketInput(NetSocket socket, long nowMs) {
         this.socket = socket;
@@ -25,9 +23,8 @@
     }
 
     /** Called when bytes have been received. */
-    void onBytes(Buffer bytes, long nowMs) {
+    void onBytes(long nowMs) {
         lastReadAtMs = nowMs;
-        bytesReceived += bytes.length();
     }
 
     /** Returns whether reading is paused because too much is queued. */
@@ -58,20 +55,25 @@
         NioSockets.stopReading(socket);
     }
 
-    /** Returns whether the connection has been read recently. */
+    /** Returns whether the connection has been read to its end recently. */
     boolean isFresh(long nowMs) {
-        return nowMs - lastReadAtMs < FRESH_READ_MS;
+        return nowMs - lastReadAtMs < FRESH_READ_MS && !hasUnreadInput();
+    }
+
+    /** Returns whether more may have arrived than has been read, so that a close by the client may be unread, too. */
+    boolean hasUnreadInput() {
+        return paused || !NioSockets.lastReadWasShort(socket);
     }
 
     /**
-     * Reads until no more bytes are available, since the close of a connection is received after its bytes.
+     * Reads until no more bytes are available, since the close of a connection is received after its bytes. Stops early
+     * while the input is paused, or after a few reads.
      *
      * @return whether the client has closed the connection
      */
     boolean readToEnd(ClientSession session) {
-        long bytesBefore = -1;
-        for (int i = 0; i < MAX_READS_AT_ONCE && bytesReceived != bytesBefore && !session.isClosed(); i++) {
-            bytesBefore = bytesReceived;
+        readNow();
+        for (int i = 1; i < MAX_READS_AT_ONCE && hasUnreadInput() && !paused && !session.isClosed(); i++) {
             readNow();
         }
         return !NioSockets.isOpen(socket);
--- a/gateway/src/main/java/ploverdale/net/eventloop/NioSockets.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/NioSockets.java
@@ -3,6 +3,7 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.internal.net.NetSocketInternal;
@@ -45,6 +46,15 @@
                                 .maxMessagesPerRead(MAX_READS_PER_TURN));
     }
 
+    /**
+     * Returns whether the last read left nothing in the operating system's buffer: it brought less than it had room
+     * for. False before the first read.
+     */
+    public static boolean lastReadWasShort(NetSocket socket) {
+        RecvByteBufAllocator.Handle reads = channel(socket).unsafe().recvBufAllocHandle();
+        return reads.lastBytesRead() < reads.attemptedBytesRead();
+    }
+
     /** Returns whether the connection is open; false as soon as its end has been read, before Vert.x reports that. */
     public static boolean isOpen(NetSocket socket) {
         return channel(socket).isOpen();
--- a/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -44,6 +44,15 @@
                 """);
     }
 
+    @Test
+    void noRequestIsSentAfterItsClientLeftWithMuchUnread() throws Exception {
+        assertHolds("""
+                day seed=7 gateways=1 lasts=5000
+                900 flood n0 UNKNOWN_TYPES 8 2000 read 9000000000
+                1700 flood n0 READS 4 2500 unread 1500000
+                """);
+    }
+
     @Test
     @Tag("known-red")
     void otherClientsAreAnsweredInTimeAndMemoryIsBoundedUnderRandomFloods() throws Exception {
