Let each client queue less while all clients use much memory

Change: from half the budget on, a client's input is paused at 64 KiB queued, and whenever it waits for its turn.

--- a/gateway/src/main/java/ploverdale/net/client/InputQueue.java
+++ b/gateway/src/main/java/ploverdale/net/client/InputQueue.java
@@ -51,9 +51,9 @@
         return bytes >= READ_AHEAD_BYTES;
     }
 
-    /** Returns whether input must be paused. */
+    /** Returns whether input must be paused: earlier if all clients together use much memory. */
     boolean isFull() {
-        return bytes >= MAX_BYTES;
+        return bytes >= (memory.isHalfUsed() ? READ_AHEAD_BYTES : MAX_BYTES);
     }
 
     /** Replaces all queued requests by rejections. */
--- a/gateway/src/main/java/ploverdale/net/client/MemoryBudget.java
+++ b/gateway/src/main/java/ploverdale/net/client/MemoryBudget.java
@@ -63,6 +63,11 @@
         return usedBytes;
     }
 
+    /** Returns whether so much of the budget is used that each client may have less. */
+    boolean isHalfUsed() {
+        return usedBytes >= MAX_BYTES / 2;
+    }
+
     /** Returns whether the budget is used up, so that new requests must be rejected. */
     boolean isExhausted() {
         return usedBytes >= MAX_BYTES;
--- a/gateway/src/main/java/ploverdale/net/client/MessageDecoder.java
+++ b/gateway/src/main/java/ploverdale/net/client/MessageDecoder.java
@@ -13,7 +13,7 @@
     private static final int MAX_REQUESTS_AFTER_END = 1000;
 
     /** Number of undecoded bytes from which the input of a client that has to wait for its turn is paused. */
-    private static final int MAX_BACKLOG_BYTES = 32 * 1024;
+    private static final int MAX_BACKLOG_BYTES = 64 * 1024;
 
     private final ClientMessageReader reader = new ClientMessageReader();
     private final MemoryBudget memory;
@@ -46,7 +46,7 @@
 
     /** Returns whether so many bytes are undecoded that no more may be read while the client waits for its turn. */
     boolean isBacklogFull() {
-        return reader.bufferedBytes() >= MAX_BACKLOG_BYTES;
+        return memory.isHalfUsed() || reader.bufferedBytes() >= MAX_BACKLOG_BYTES;
     }
 
     /** Returns the number of bytes that the memory budget counts for this decoder. */
