Forget replica groups that only clients named

Cause: ServerDirectory.group made a group for each number that a request names and kept it, and Maintenance walks all groups. Change: a group without servers is forgotten with its last waiting request; Maintenance walks a copy.

--- a/gateway/src/main/java/ploverdale/net/client/InputQueue.java
+++ b/gateway/src/main/java/ploverdale/net/client/InputQueue.java
@@ -16,6 +16,8 @@
     private static final int READ_AHEAD_BYTES = 64 * 1024;
     /** Number of queued bytes from which that client's input is paused and its queued requests are rejected. */
     private static final int MAX_BYTES = 4 * READ_AHEAD_BYTES;
+    /** The same while all clients together queue much: as many connections as may be open stay within the budget. */
+    private static final int MAX_SCARCE_BYTES = 8 * 1024;
 
     private final Deque<QueuedInput> inputs = new ArrayDeque<>();
     private final MemoryBudget memory;
@@ -53,7 +55,7 @@
 
     /** Returns whether input must be paused: earlier if all clients together use much memory. */
     boolean isFull() {
-        return bytes >= (memory.isHalfUsed() ? READ_AHEAD_BYTES : MAX_BYTES);
+        return bytes >= (memory.isInputScarce() ? MAX_SCARCE_BYTES : MAX_BYTES);
     }
 
     /** Replaces all queued requests by rejections. */
--- a/gateway/src/main/java/ploverdale/net/client/MemoryBudget.java
+++ b/gateway/src/main/java/ploverdale/net/client/MemoryBudget.java
@@ -18,6 +18,9 @@
     /** The part of the budget that waiting responses may use; the rest is left for what clients send. */
     private static final long MAX_WAITING_RESPONSE_BYTES = MAX_BYTES / 2;
 
+    /** From this size on, each client may queue less: half of what waiting responses leave. */
+    private static final long SCARCE_INPUT_BYTES = (MAX_BYTES - MAX_WAITING_RESPONSE_BYTES) / 2;
+
     private final Log log;
     private long usedBytes;
     private long waitingResponseBytes;
@@ -63,9 +66,9 @@
         return usedBytes;
     }
 
-    /** Returns whether so much of the budget is used that each client may have less. */
-    boolean isHalfUsed() {
-        return usedBytes >= MAX_BYTES / 2;
+    /** Returns whether clients' input takes so much of its part of the budget that each client may queue less. */
+    boolean isInputScarce() {
+        return usedBytes - waitingResponseBytes >= SCARCE_INPUT_BYTES;
     }
 
     /** Returns whether the budget is used up, so that new requests must be rejected. */
--- a/gateway/src/main/java/ploverdale/net/client/MessageDecoder.java
+++ b/gateway/src/main/java/ploverdale/net/client/MessageDecoder.java
@@ -46,7 +46,7 @@
 
     /** Returns whether so many bytes are undecoded that no more may be read while the client waits for its turn. */
     boolean isBacklogFull() {
-        return memory.isHalfUsed() || reader.bufferedBytes() >= MAX_BACKLOG_BYTES;
+        return memory.isInputScarce() || reader.bufferedBytes() >= MAX_BACKLOG_BYTES;
     }
 
     /** Returns the number of bytes that the memory budget counts for this decoder. */
--- a/gateway/src/main/java/ploverdale/routing/AttemptCanceller.java
+++ b/gateway/src/main/java/ploverdale/routing/AttemptCanceller.java
@@ -22,7 +22,7 @@
      * Removes the request from the queue of its group, and cancels its attempt in flight if the deployment allows it.
      */
     void cancel(PendingRequest request) {
-        directory.group(request.arrival().group()).dequeue(request);
+        directory.dequeue(request);
         if (capabilities.cancelAllowed() && request.requestCancel()) {
             context.emit(new Action.CancelAttempt(request.id(), request.attemptInFlight()));
         }
--- a/gateway/src/main/java/ploverdale/routing/RequestDispatcher.java
+++ b/gateway/src/main/java/ploverdale/routing/RequestDispatcher.java
@@ -112,7 +112,7 @@
             group.enqueue(request);
             return false;
         }
-        group.dequeue(request);
+        directory.dequeue(request);
         Optional<ServerState> admitted = decision.server().filter(server -> admits(server, request));
         admission.recordAdmission(request, admitted.isPresent());
         admitted.ifPresentOrElse(server -> startAttempt(request, server), () -> finish(request));
--- a/gateway/src/main/java/ploverdale/routing/Router.java
+++ b/gateway/src/main/java/ploverdale/routing/Router.java
@@ -44,6 +44,11 @@
         return context.actions();
     }
 
+    /** Returns the number of replica groups that are held in memory. */
+    int knownGroups() {
+        return directory.groups().size();
+    }
+
     /** Whether requests may be written to this server; false once it is known to be draining or removed. */
     public boolean mayReceive(ServerId server) {
         return directory.isActive(server);
--- a/gateway/src/main/java/ploverdale/routing/ServerDirectory.java
+++ b/gateway/src/main/java/ploverdale/routing/ServerDirectory.java
@@ -3,14 +3,16 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import ploverdale.model.GroupId;
 import ploverdale.model.ServerId;
+import ploverdale.state.PendingRequest;
 import ploverdale.state.ReplicaGroup;
 import ploverdale.state.ServerState;
 
-/** All servers and replica groups that were ever listed, in the order in which they were first listed. */
+/** All servers that were ever listed, in that order, and all replica groups with servers or waiting requests. */
 final class ServerDirectory {
     private final Map<ServerId, ServerState> servers = new LinkedHashMap<>();
     private final Map<GroupId, ReplicaGroup> groups = new LinkedHashMap<>();
@@ -30,9 +32,18 @@
         return groups.computeIfAbsent(id, ReplicaGroup::new);
     }
 
-    /** Returns all known groups. */
-    Collection<ReplicaGroup> groups() {
-        return Collections.unmodifiableCollection(groups.values());
+    /** Returns a copy of the known groups, in the order in which they became known. */
+    List<ReplicaGroup> groups() {
+        return List.copyOf(groups.values());
+    }
+
+    /** Removes a request from those that wait in its group, and forgets the group if it has nothing else. */
+    void dequeue(PendingRequest request) {
+        ReplicaGroup group = group(request.arrival().group());
+        group.dequeue(request);
+        if (group.members().isEmpty() && group.waiting().isEmpty()) {
+            groups.remove(group.id()); // clients may name any number of groups that do not exist
+        }
     }
 
     /**
