Skip fields of a comment that no request has, without copying them

Cause: RequestQueryParser put every field of a comment into a map. Change: only the seven names that a request has are taken.

--- a/gateway/src/main/java/ploverdale/net/postgres/RequestQueryParser.java
+++ b/gateway/src/main/java/ploverdale/net/postgres/RequestQueryParser.java
@@ -11,6 +11,7 @@
 /** Parses a query string: one statement and the comment that describes the request. */
 final class RequestQueryParser {
     private static final String[] REQUIRED_FIELDS = {"id", "c", "d"};
+    private static final String[] FIELDS = {"id", "c", "t", "d", "cluster", "r", "after"};
     private static final double MAX_TIMEOUT_MS = 1e9;
     private static final int MAX_NUMBER_LENGTH = 24;
     private static final String NUMBER_CHARACTERS = "0123456789.-";
@@ -165,7 +166,10 @@
         if (equals <= from || equals >= to) {
             return;
         }
-        String name = new String(text, from, equals - from, UTF_8);
+        String name = fieldName(from, equals);
+        if (name == null) {
+            return; // a comment may have any number of others
+        }
         fields.put(name, new String(text, equals + 1, to - equals - 1, UTF_8));
         if (name.equals("d")) {
             timeoutFrom = equals + 1;
@@ -173,6 +177,25 @@
         }
     }
 
+    /** Returns the name of a field that requests have, if the text from an index on has just that name, or null. */
+    private String fieldName(int from, int to) {
+        for (String field : FIELDS) {
+            if (field.length() == to - from && startsWith(field, from)) {
+                return field;
+            }
+        }
+        return null;
+    }
+
+    private boolean startsWith(String ascii, int from) {
+        for (int i = 0; i < ascii.length(); i++) {
+            if (text[from + i] != ascii.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /**
      * Parses a plain decimal number; returns NaN for anything else, such as the exponents that Double.parseDouble
      * accepts.
