Refuse the id of a request that may have run for a client that left

Cause: InFlightRequests.abandon forgot the request with its client, so that RequestAcceptor took the same id for a new one while the first attempt ran or had run. Change: ids whose requests had an attempt are remembered for 60 s, 8,192 at most, as hashes; a request with one gets the same error as for an id in flight (42710). Where gateways share a record of requests, its lookup decides as before.

Measured: with the check in RequestAcceptor taken out AbandonedIdTest fails (no answer 42710 to the second request), with it it passes.

--- /dev/null
+++ b/gateway/src/main/java/ploverdale/net/client/AbandonedRequests.java
@@ -0,0 +1,48 @@
+package ploverdale.net.client;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.UUID;
+import ploverdale.model.RequestId;
+
+/**
+ * Remembers the ids of requests whose clients left after an attempt had been started: they may have run, and may still
+ * run, so that a request with the same id must not be forwarded. Bounded in time and number; of each id only a hash is
+ * kept. Not thread-safe.
+ */
+final class AbandonedRequests {
+    /** How long an id is remembered: several times the longest timeout of a request. */
+    static final long RETENTION_MS = 60_000;
+
+    /** How many ids are remembered at most, some hundred bytes each; the oldest is forgotten first. */
+    static final int MAX_IDS = 8192;
+
+    private final Map<UUID, Long> abandonedAtMs = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<UUID, Long> eldest) {
+            return size() > MAX_IDS;
+        }
+    };
+
+    /** Remembers an id. */
+    void add(RequestId id, long nowMs) {
+        UUID hash = hash(id);
+        abandonedAtMs.remove(hash); // put again as the youngest
+        abandonedAtMs.put(hash, nowMs);
+    }
+
+    /** Returns whether a request with this id may have run for a client that has left. */
+    boolean contains(RequestId id, long nowMs) {
+        if (abandonedAtMs.isEmpty()) {
+            return false;
+        }
+        Long at = abandonedAtMs.get(hash(id));
+        return at != null && nowMs - at <= RETENTION_MS;
+    }
+
+    private static UUID hash(RequestId id) {
+        return UUID.nameUUIDFromBytes(id.value().getBytes(UTF_8));
+    }
+}
--- a/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
+++ b/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
@@ -43,6 +43,11 @@
         return attempts <= 1;
     }
 
+    /** Returns whether an attempt has been started. */
+    boolean hasAttempts() {
+        return attempts > 0;
+    }
+
     RequestId id() {
         return id;
     }
--- a/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
@@ -49,7 +49,7 @@
         this.readTimeoutMs = readTimeoutMs(settings);
         this.memory = new MemoryBudget(log);
         this.lingeringClose = new LingeringClose(vertx, log, limits, status);
-        this.inFlight = new InFlightRequests(log, eventLoop, memory);
+        this.inFlight = new InFlightRequests(log, eventLoop, memory, clock.clock());
         this.acceptor = new RequestAcceptor(eventLoop, settings, limits, clock, inFlight);
         this.evictor = new SessionEvictor(log, limits, clock, status, memory);
         this.inputTimes = new InputTimes(log, clock.clock());
--- a/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
+++ b/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import ploverdale.clock.Clock;
 import ploverdale.log.Log;
 import ploverdale.model.Event;
 import ploverdale.model.RequestId;
@@ -23,8 +24,11 @@
     private final Log log;
     private final RouterEventLoop eventLoop;
     private final MemoryBudget memory;
+    private final Clock clock;
+    private final AbandonedRequests abandoned = new AbandonedRequests();
 
-    InFlightRequests(Log log, RouterEventLoop eventLoop, MemoryBudget memory) {
+    InFlightRequests(Log log, RouterEventLoop eventLoop, MemoryBudget memory, Clock clock) {
+        this.clock = clock;
         this.log = log;
         this.eventLoop = eventLoop;
         this.memory = memory;
@@ -41,6 +45,11 @@
         return requests.get(id);
     }
 
+    /** Returns whether a request with this id is in flight, or may have run for a client that has left. */
+    boolean isInUse(RequestId id) {
+        return requests.containsKey(id) || abandoned.contains(id, clock.monotonicMs());
+    }
+
     /** Returns whether exactly this request is in flight: its id may be reused once it has been answered. */
     boolean contains(AcceptedRequest request) {
         return requests.get(request.id()) == request;
@@ -89,7 +98,10 @@
 
     /** Removes a request that its client no longer waits for, and notifies the router. */
     void abandon(RequestId id) {
-        remove(id);
+        AcceptedRequest request = remove(id);
+        if (request != null && request.hasAttempts()) {
+            abandoned.add(id, clock.monotonicMs());
+        }
         eventLoop.enqueue(new Event.ClientDisconnected(id));
     }
 
--- a/gateway/src/main/java/ploverdale/net/client/RequestAcceptor.java
+++ b/gateway/src/main/java/ploverdale/net/client/RequestAcceptor.java
@@ -87,7 +87,7 @@
             return;
         }
         RequestId id = new RequestId(query.id());
-        if (inFlight.get(id) != null) {
+        if (isInUse(id)) {
             session.rejectInvalidMessage(SqlStates.DUPLICATE_OBJECT, "the id of an op still in hand");
             return;
         }
@@ -96,6 +96,11 @@
         dispatch(arrivalEvent(query, classIndex, tenantIndex, arrivedAt, timeoutAt), query.key());
     }
 
+    /** Returns whether the id is in use. A request that may have run is left to the lookup of its history, if any. */
+    private boolean isInUse(RequestId id) {
+        return historyLookup == null ? inFlight.isInUse(id) : inFlight.get(id) != null;
+    }
+
     private int tenantIndex(String tenant) {
         return settings.tenants().isEmpty() ? 0 : settings.tenants().indexOf(tenant);
     }
--- /dev/null
+++ b/gateway/src/test/java/ploverdale/AbandonedIdTest.java
@@ -0,0 +1,27 @@
+package ploverdale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Regression test for requests that ran twice because their id came again after its client had left. */
+@Timeout(60)
+class AbandonedIdTest {
+    @Test
+    void anIdWhoseRequestMayHaveRunIsNotForwardedAgainAfterItsClientLeft() throws Exception {
+        try (GatewayTestFixture net = new GatewayTestFixture("p").start()) {
+            String query = net.queryText("order");
+            TestClient left = net.connect().sendQuery(query);
+            ReceivedQuery attempt = net.servers.get("p").nextQuery();
+            left.close();
+            attempt.awaitClosedByGateway();
+            TestClient other = net.connect().sendQuery(query);
+            assertThat(other.readResponse()).as(net::log).isEqualTo("42710 ready");
+            assertThat(net.servers.get("p").receivedRequests).as(net::log).hasSize(1);
+            TestClient third = net.connect().sendQuery(net.queryText("order"));
+            net.servers.get("p").nextQuery().sendRow(new byte[] {7});
+            assertThat(third.readResponse()).as("another id is served").isEqualTo("row 07 ready");
+        }
+    }
+}
