Take much input in a row, or before the accept, for a close that may be unread

Cause: a read that empties this machine's buffer doesn't prove that the client has nothing more: what the receive window holds back, and the close behind it, are still in the client's buffer; and a connection may have waited to be accepted until its client had gone.

Change: UnreadInput, without I/O: while reading is paused, the last read filled its buffer, or more than 32 KiB came within 20 ms and there is input behind the request, a request may begin for 50 ms from the first such moment, and not at all if it was so from the accept on.

--- a/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
@@ -131,7 +131,7 @@
         if (!inFlight.contains(request) || request.session().isClosedByClient() || !inFlight.contains(request)) {
             return false;
         }
-        if (request.session().hasUnreadInput()) {
+        if (request.session().mayHideClose()) {
             inFlight.endForUnreadInput(request);
             return false;
         }
--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -104,9 +104,9 @@
         return isClosed();
     }
 
-    /** Returns whether more may have arrived than has been read; then a close by the client may be unread, too. */
-    boolean hasUnreadInput() {
-        return socketInput.hasUnreadInput();
+    /** Returns whether the client may have closed the connection a while ago, behind input that is unread. */
+    boolean mayHideClose() {
+        return socketInput.mayHideClose(input.hasInput(), runtime.nowMs());
     }
 
     /** Returns whether the connection is closed or being closed. */
@@ -252,7 +252,7 @@
             return;
         }
         release();
-        socketInput.setPaused(false);
+        socketInput.setPaused(false, runtime.nowMs());
         runtime.lingeringClose().close(socket);
     }
 
--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -8,6 +8,8 @@
  * order as far as the session accepts them. {@link SessionState} describes its states. Used on the event loop only.
  */
 final class SessionInput {
+    private static final long TICKS_PER_MS = 10;
+
     private final ClientRuntime runtime;
     private final ClientSession session;
     private final SocketInput socket;
@@ -28,7 +30,7 @@
 
     /** Takes received bytes, and runs them now or when it is the session's turn. */
     void onBytes(Buffer bytes) {
-        socket.onBytes(runtime.nowMs());
+        socket.onBytes(bytes.length(), runtime.nowMs(), runtime.eventLoop().lag() / TICKS_PER_MS);
         if (!state.decodesInput()) {
             runtime.lingeringClose().logDiscarded(bytes.length());
             return;
@@ -160,7 +162,7 @@
 
     private void pauseWhileFull() {
         if (!isClosed() && !runtime.status().isReadingStopped()) {
-            socket.setPaused(queue.isFull() || isBacklogFull());
+            socket.setPaused(queue.isFull() || isBacklogFull(), runtime.nowMs());
         }
     }
 
--- a/gateway/src/main/java/ploverdale/net/client/SocketInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SocketInput.java
@@ -13,18 +13,27 @@
 
     private static final int MAX_READS_AT_ONCE = 4;
 
+    private static final long LONG_AGO_MS = Long.MIN_VALUE / 2;
+
     private final NetSocket socket;
+    private final UnreadInput unread;
     private boolean paused;
     private long lastReadAtMs;
 
     SocketInput(NetSocket socket, long nowMs) {
         this.socket = socket;
         this.lastReadAtMs = nowMs;
+        this.unread = new UnreadInput(nowMs);
     }
 
-    /** Called when bytes have been received. */
-    void onBytes(long nowMs) {
+    /**
+     * Called when bytes have been received.
+     *
+     * @param lagMs how long the bytes may have been waiting
+     */
+    void onBytes(int bytes, long nowMs, long lagMs) {
         lastReadAtMs = nowMs;
+        unread.onRead(bytes, NioSockets.lastReadWasShort(socket), nowMs, lagMs);
     }
 
     /** Returns whether reading is paused because too much is queued. */
@@ -33,11 +42,13 @@
     }
 
     /** Pauses or resumes reading; does nothing if the state is unchanged. */
-    void setPaused(boolean shouldPause) {
+    void setPaused(boolean shouldPause, long nowMs) {
         if (shouldPause == paused) {
             return;
         }
         paused = shouldPause;
+        lastReadAtMs = LONG_AGO_MS; // a read before the pause tells nothing of what comes after it
+        unread.setPaused(shouldPause, nowMs);
         if (shouldPause) {
             NioSockets.stopReading(socket);
         } else {
@@ -57,14 +68,22 @@
 
     /** Returns whether the connection has been read to its end recently. */
     boolean isFresh(long nowMs) {
-        return nowMs - lastReadAtMs < FRESH_READ_MS && !hasUnreadInput();
+        return nowMs - lastReadAtMs < FRESH_READ_MS && !mayHaveUnreadInput();
     }
 
-    /** Returns whether more may have arrived than has been read, so that a close by the client may be unread, too. */
-    boolean hasUnreadInput() {
+    private boolean mayHaveUnreadInput() {
         return paused || !NioSockets.lastReadWasShort(socket);
     }
 
+    /**
+     * Returns whether the client may have closed the connection a while ago, behind input that is unread.
+     *
+     * @param hasFurtherInput whether input behind the request in question has been read
+     */
+    boolean mayHideClose(boolean hasFurtherInput, long nowMs) {
+        return unread.mayHideClose(NioSockets.lastReadWasShort(socket), hasFurtherInput, nowMs);
+    }
+
     /**
      * Reads until no more bytes are available, since the close of a connection is received after its bytes. Stops early
      * while the input is paused, or after a few reads.
@@ -73,7 +92,7 @@
      */
     boolean readToEnd(ClientSession session) {
         readNow();
-        for (int i = 1; i < MAX_READS_AT_ONCE && hasUnreadInput() && !paused && !session.isClosed(); i++) {
+        for (int i = 1; i < MAX_READS_AT_ONCE && mayHaveUnreadInput() && !paused && !session.isClosed(); i++) {
             readNow();
         }
         return !NioSockets.isOpen(socket);
