Send what a turn answers to one client in one write

Change: ResponseWriter collects up to 16 KiB until the end of a quantum, larger responses are not copied; RefusedConnection and the refusals behind a fatal error are written at once. Order and the last moment of a connection stay: everything collected is sent before a close.

--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -65,6 +65,10 @@
      */
     boolean runInput(InputScheduler.Quantum quantum) {
         boolean inputLeft = input.run(quantum);
+        if (!isClosed()) {
+            writer.send();
+            writer.blockWhileFull();
+        }
         if (runtime.status().isClosingIdle()) {
             closeIfIdle();
         }
@@ -149,15 +153,17 @@
     /** Writes the responses that are complete, up to the first incomplete one. */
     void flush() {
         writeCompletedResponses();
-        if (!isClosed() && pipeline.isEmpty()) {
-            onAllAnswered();
+        if (isClosed()) {
+            return;
         }
-        if (!isClosed()) {
+        if (!input.isRunning()) { // otherwise runInput does this after the last message
+            writer.send();
             writer.blockWhileFull();
-        }
-        if (!input.isRunning()) {
             input.runLater();
         }
+        if (pipeline.isEmpty()) {
+            onAllAnswered();
+        }
     }
 
     private void writeCompletedResponses() {
@@ -176,7 +182,7 @@
 
     private void rejectRequestsAfterEnd() {
         for (int i = 0; i < input.requestsAfterEnd() && !isClosed(); i++) {
-            socket.write(ErrorResponses.error(SqlStates.TOO_MANY_CONNECTIONS, "not run, this connection ends"));
+            writer.write(ErrorResponses.error(SqlStates.TOO_MANY_CONNECTIONS, "not run, this connection ends"));
         }
     }
 
@@ -251,6 +257,7 @@
         if (isClosed()) {
             return;
         }
+        writer.send();
         release();
         socketInput.setPaused(false, runtime.nowMs());
         runtime.lingeringClose().close(socket);
@@ -268,7 +275,7 @@
         }
         input.close();
         runtime.limits().onClientClosing(this);
-        writer.releaseMemory();
+        writer.release();
         runtime.cancels().unregister(backendKey);
         runtime.sessions().remove(this);
         pipeline.inFlight().forEach(response -> runtime.inFlight().abandon(response.request()));
--- a/gateway/src/main/java/ploverdale/net/client/RefusedConnection.java
+++ b/gateway/src/main/java/ploverdale/net/client/RefusedConnection.java
@@ -55,10 +55,14 @@
     private void onBytes(Buffer bytes) {
         reader.feed(bytes);
         ClientMessage first = reader.next();
+        Buffer encryptionAnswers = Buffer.buffer();
         while (first instanceof ClientMessage.EncryptionRequest) {
-            socket.write(Buffer.buffer(ENCRYPTION_NOT_SUPPORTED));
+            encryptionAnswers.appendString(ENCRYPTION_NOT_SUPPORTED);
             first = reader.next();
         }
+        if (encryptionAnswers.length() > 0) {
+            socket.write(encryptionAnswers);
+        }
         if (first instanceof ClientMessage.CancelRequest cancel) {
             finished = true;
             cancelHandler.accept(cancel);
@@ -86,10 +90,12 @@
             return;
         }
         finished = true;
-        socket.write(ErrorResponses.fatal(SqlStates.TOO_MANY_CONNECTIONS, "too many connections"));
+        Buffer answers = ErrorResponses.fatal(SqlStates.TOO_MANY_CONNECTIONS, "too many connections");
+        Buffer further = ErrorResponses.error(SqlStates.TOO_MANY_CONNECTIONS, "not run, too many connections");
         for (int i = 1; i < requests; i++) {
-            socket.write(ErrorResponses.error(SqlStates.TOO_MANY_CONNECTIONS, "not run, too many connections"));
+            answers.appendBuffer(further);
         }
+        socket.write(answers);
         closer.run();
     }
 }
--- a/gateway/src/main/java/ploverdale/net/client/ResponseWriter.java
+++ b/gateway/src/main/java/ploverdale/net/client/ResponseWriter.java
@@ -10,6 +10,9 @@
  * no further command of that client runs, and after a time limit its connection is closed. Used on the event loop only.
  */
 final class ResponseWriter {
+    /** Size from which responses are sent before others are added; larger responses are not copied. */
+    private static final int MAX_BATCH_BYTES = 16 * 1024;
+
     private final Vertx vertx;
     private final Log log;
     private final NetSocket socket;
@@ -17,6 +20,7 @@
     private final long readTimeoutMs;
     private final Runnable onDrained;
     private final Runnable onReadTimeout;
+    private Buffer unsent = Buffer.buffer();
     private boolean blocked;
     private long unreadBytes;
 
@@ -39,12 +43,33 @@
         return blocked;
     }
 
-    /** Writes a response; counts its bytes in the memory budget if the client is not reading. */
+    /** Adds a response to those that the next {@link #send} writes; sends those before it if they are large. */
     void write(Buffer response) {
-        socket.write(response);
+        if (unsent.length() + response.length() > MAX_BATCH_BYTES) {
+            send();
+        }
+        if (response.length() > MAX_BATCH_BYTES) {
+            sendNow(response);
+        } else {
+            unsent.appendBuffer(response);
+        }
+    }
+
+    /** Sends all responses written so far, with one system call if possible. */
+    void send() {
+        if (unsent.length() > 0) {
+            Buffer batch = unsent;
+            unsent = Buffer.buffer();
+            sendNow(batch);
+        }
+    }
+
+    /** Sends bytes; counts them in the memory budget if the client is not reading. */
+    private void sendNow(Buffer bytes) {
+        socket.write(bytes);
         if (blocked || socket.writeQueueFull()) {
-            unreadBytes += response.length();
-            memory.reserve(response.length());
+            unreadBytes += bytes.length();
+            memory.reserve(bytes.length());
         }
     }
 
@@ -66,8 +91,13 @@
         });
     }
 
-    /** Removes the unread bytes from the memory budget. */
-    void releaseMemory() {
+    /** Discards the responses that have not been sent, and removes the unread bytes from the memory budget. */
+    void release() {
+        unsent = Buffer.buffer();
+        releaseMemory();
+    }
+
+    private void releaseMemory() {
         memory.release(unreadBytes);
         unreadBytes = 0;
     }
