Docs and clean-up: one log line for long input, one start of process rigs

InputTimes is gone, InputScheduler logs a run of a client's input that takes over 20 ms, in later turns, too. Four rigs located the gateway's jar with the same lines; SeedRuns does it. No change of behaviour.

--- a/gateway/src/main/java/ploverdale/limits/package-info.java
+++ b/gateway/src/main/java/ploverdale/limits/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Owns the allocation of a gateway's file descriptors: how many clients may connect, how many descriptors stay
- * available for connections to servers, and which client connection to evict when there are too many. Must never do
+ * Owns what clients may take of a gateway: how many may connect, how many descriptors stay available for connections to
+ * servers, which client connection to evict when there are too many, and whose input is run next. Must never do
  * I/O, read a clock, or know what a connection carries: callers report each change of a connection's state and close
  * the connections that this package selects.
  */
--- a/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
@@ -31,7 +31,6 @@
     private final InFlightRequests inFlight;
     private final RequestAcceptor acceptor;
     private final SessionEvictor evictor;
-    private final InputTimes inputTimes;
     private final InputScheduler inputScheduler;
 
     ClientRuntime(
@@ -52,7 +51,6 @@
         this.inFlight = new InFlightRequests(log, eventLoop, memory, clock.clock());
         this.acceptor = new RequestAcceptor(eventLoop, settings, limits, clock, inFlight);
         this.evictor = new SessionEvictor(log, limits, clock, status, memory);
-        this.inputTimes = new InputTimes(log, clock.clock());
         this.inputScheduler = new InputScheduler(log, clock.clock(), eventLoop);
     }
 
@@ -126,10 +124,6 @@
         return evictor;
     }
 
-    InputTimes inputTimes() {
-        return inputTimes;
-    }
-
     InputScheduler inputScheduler() {
         return inputScheduler;
     }
--- a/gateway/src/main/java/ploverdale/net/client/InputScheduler.java
+++ b/gateway/src/main/java/ploverdale/net/client/InputScheduler.java
@@ -18,6 +18,9 @@
     /** How long input is run before the loop does anything else. */
     private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
+    /** Longer runs are logged: less than half of the time for which the loop must never stand still (50 ms). */
+    private static final long LOGGED_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
     /** Period in which input may be run immediately when it is read for {@link #TURN_NANOS} altogether. */
     private static final long IMMEDIATE_PERIOD_NANOS = 4 * TURN_NANOS;
 
@@ -95,10 +98,18 @@
         boolean inputLeft = session.runInput(new Quantum(clock, beganAt + QUANTUM_NANOS));
         if (inputLeft) {
             queue.addBacklogged(session);
-            log.rateLimited("client sends faster than its share", queue.backlogged() + " such clients");
+            log.rateLimited(
+                    "client sends faster than its share",
+                    queue.backlogged() + " such clients"); // log line: on-call guide
             scheduleTurn();
         }
-        return clock.nanos() - beganAt;
+        long nanos = clock.nanos() - beganAt;
+        if (nanos > LOGGED_NANOS) {
+            log.rateLimited(
+                    "long input of a client",
+                    TimeUnit.NANOSECONDS.toMillis(nanos) + " ms without a break"); // log line: on-call guide
+        }
+        return nanos;
     }
 
     /** The time for which the input of one session may be run. */
--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -39,9 +39,7 @@
         if (running) {
             return; // read from within a message; the bytes are decoded after it
         }
-        runtime.inputTimes().begin();
         runtime.inputScheduler().onInputRead(session);
-        runtime.inputTimes().end(bytes.length());
         decoder.countBytes();
         pauseWhileFull();
     }
--- a/tools/src/main/java/ploverdale/tools/rig/Faults.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Faults.java
@@ -1,11 +1,9 @@
 package ploverdale.tools.rig;
 
-import java.io.IOException;
 import java.util.List;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.FleetResult;
-import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.ScheduleShrinker;
 import ploverdale.tools.fleet.Workload;
@@ -25,13 +23,7 @@
     private Faults() {}
 
     static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
-        Launch launch;
-        try {
-            launch = Launch.locate(List.of());
-        } catch (IOException e) {
-            return List.of(new Check("start of gateways as processes", e.getMessage(), false));
-        }
-        return SeedRuns.play(firstSeed, seeds, atATime, seed -> {
+        return SeedRuns.playLaunched(firstSeed, seeds, atATime, (launch, seed) -> {
             FaultSchedule schedule = ScheduleGenerator.generate(seed, GATEWAYS, DURATION_MS, Fleet.SERVERS);
             return check(schedule, Workload.even(launch, GATEWAYS, REQUESTS_PER_SECOND));
         });
--- a/tools/src/main/java/ploverdale/tools/rig/Floods.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Floods.java
@@ -1,6 +1,5 @@
 package ploverdale.tools.rig;
 
-import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
 import ploverdale.tools.fleet.FaultSchedule;
@@ -25,13 +24,7 @@
     private Floods() {}
 
     static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
-        Launch launch;
-        try {
-            launch = Launch.locate(List.of());
-        } catch (IOException e) {
-            return List.of(new Check("start of gateways as processes", e.getMessage(), false));
-        }
-        return SeedRuns.play(firstSeed, seeds, atATime, seed -> {
+        return SeedRuns.playLaunched(firstSeed, seeds, atATime, (launch, seed) -> {
             FaultSchedule schedule = FloodScheduleGenerator.generate(seed, Fleet.SERVERS);
             return check(Fleet.run(schedule, workload(launch, schedule)));
         });
--- a/tools/src/main/java/ploverdale/tools/rig/Pauses.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -1,6 +1,5 @@
 package ploverdale.tools.rig;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -39,13 +38,8 @@
     private Pauses() {}
 
     static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
-        Launch launch;
-        try {
-            launch = Launch.locate(List.of());
-        } catch (IOException e) {
-            return List.of(new Check("start of gateways as processes", e.getMessage(), false));
-        }
-        return SeedRuns.play(firstSeed, seeds, atATime, seed -> check(Fleet.run(schedule(seed), workload(launch))));
+        return SeedRuns.playLaunched(
+                firstSeed, seeds, atATime, (launch, seed) -> check(Fleet.run(schedule(seed), workload(launch))));
     }
 
     static Workload workload(Launch launch) {
--- a/tools/src/main/java/ploverdale/tools/rig/SeedRuns.java
+++ b/tools/src/main/java/ploverdale/tools/rig/SeedRuns.java
@@ -1,11 +1,13 @@
 package ploverdale.tools.rig;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import ploverdale.tools.fleet.GatewayProcess.Launch;
 
 /** Runs a scenario for a range of seeds, several at a time. */
 final class SeedRuns {
@@ -14,8 +16,25 @@
         Check play(long seed) throws Exception;
     }
 
+    /** The run of a scenario for one seed with gateways as processes. */
+    interface LaunchedRun {
+        Check play(Launch launch, long seed) throws Exception;
+    }
+
     private SeedRuns() {}
 
+    /** Does the same as {@link #play} with gateways as processes; a single failed check if the gateway is not built. */
+    static List<Check> playLaunched(long firstSeed, int seeds, int atATime, LaunchedRun run)
+            throws InterruptedException {
+        Launch launch;
+        try {
+            launch = Launch.locate(List.of());
+        } catch (IOException e) {
+            return List.of(new Check("start of gateways as processes", e.getMessage(), false));
+        }
+        return play(firstSeed, seeds, atATime, seed -> run.play(launch, seed));
+    }
+
     /**
      * Waits for all runs and returns their checks in the order of the seeds. A run that throws becomes a failed check.
      */
--- a/tools/src/main/java/ploverdale/tools/rig/Soak.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Soak.java
@@ -1,6 +1,5 @@
 package ploverdale.tools.rig;
 
-import java.io.IOException;
 import java.util.List;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
@@ -18,13 +17,7 @@
     private Soak() {}
 
     static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
-        Launch launch;
-        try {
-            launch = Launch.locate(List.of());
-        } catch (IOException e) {
-            return List.of(new Check("start of gateways as processes", e.getMessage(), false));
-        }
-        return SeedRuns.play(firstSeed, seeds, atATime, seed -> {
+        return SeedRuns.playLaunched(firstSeed, seeds, atATime, (launch, seed) -> {
             FaultSchedule schedule = schedule(seed);
             return Faults.check(schedule, workload(launch, schedule));
         });
