Look at the end of a new connection once; doubt bulk input for as long as TCP may stall

Causes: (1) the first read of a connection that waited to be accepted may leave nothing but its end, and SocketInput.isFresh took it for open; now each connection is read to its end once before its first attempt.

--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -110,7 +110,7 @@
 
     /** Returns whether the client may have closed the connection a while ago, behind input that is unread. */
     boolean mayHideClose() {
-        return socketInput.mayHideClose(input.hasInput(), runtime.nowMs());
+        return socketInput.mayHideClose(runtime.nowMs());
     }
 
     /** Returns whether the connection is closed or being closed. */
--- a/gateway/src/main/java/ploverdale/net/client/InputScheduler.java
+++ b/gateway/src/main/java/ploverdale/net/client/InputScheduler.java
@@ -18,7 +18,7 @@
     /** How long input is run before the loop does anything else. */
     private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
-    /** Longer runs are logged: less than half of the time for which the loop must never stand still (50 ms). */
+    /** Longer runs are logged; other clients' deadlines allow for a delay of 50 ms. */
     private static final long LOGGED_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     /** Period in which input may be run immediately when it is read for {@link #TURN_NANOS} altogether. */
--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -88,6 +88,7 @@
                 return decoded;
             }
             decoded = true;
+            socket.onMessage();
             if (message instanceof ClientMessage.Terminate) {
                 session.close();
             } else {
--- a/gateway/src/main/java/ploverdale/net/client/SocketInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SocketInput.java
@@ -18,6 +18,7 @@
     private final NetSocket socket;
     private final UnreadInput unread;
     private boolean paused;
+    private boolean seenOpen;
     private long lastReadAtMs;
 
     SocketInput(NetSocket socket, long nowMs) {
@@ -66,22 +67,26 @@
         NioSockets.stopReading(socket);
     }
 
-    /** Returns whether the connection has been read to its end recently. */
+    /**
+     * Returns whether the connection has been read to its end recently. False before the first time that it was read
+     * for this purpose: it may have waited to be accepted, with its close right behind the bytes read so far.
+     */
     boolean isFresh(long nowMs) {
-        return nowMs - lastReadAtMs < FRESH_READ_MS && !mayHaveUnreadInput();
+        return seenOpen && nowMs - lastReadAtMs < FRESH_READ_MS && !mayHaveUnreadInput();
     }
 
     private boolean mayHaveUnreadInput() {
         return paused || !NioSockets.lastReadWasShort(socket);
     }
 
-    /**
-     * Returns whether the client may have closed the connection a while ago, behind input that is unread.
-     *
-     * @param hasFurtherInput whether input behind the request in question has been read
-     */
-    boolean mayHideClose(boolean hasFurtherInput, long nowMs) {
-        return unread.mayHideClose(NioSockets.lastReadWasShort(socket), hasFurtherInput, nowMs);
+    /** Returns whether the client may have closed the connection a while ago, behind input that is unread. */
+    boolean mayHideClose(long nowMs) {
+        return unread.mayHideClose(NioSockets.lastReadWasShort(socket), nowMs);
+    }
+
+    /** Called when a message has been decoded. */
+    void onMessage() {
+        unread.onMessage();
     }
 
     /**
@@ -100,6 +105,7 @@
 
     /** Records that the connection was read at this time. */
     void markRead(long nowMs) {
+        seenOpen = true;
         lastReadAtMs = nowMs;
     }
 }
--- a/gateway/src/main/java/ploverdale/net/client/UnreadInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/UnreadInput.java
@@ -10,11 +10,14 @@
     /** How long input may be unread before a close behind it counts as missed: half of the 100 ms that are allowed. */
     private static final long MAX_UNREAD_MS = 50;
 
-    /** Period of which the received bytes are counted; longer than a round trip. */
-    private static final long PERIOD_MS = 20;
+    /** Period of which the received bytes are counted; longer than TCP may hold back what did not fit the window. */
+    private static final long PERIOD_MS = 250;
 
-    /** Bytes in a period from which the client may have more to send: half of the usual initial receive window. */
-    private static final long MUCH_BYTES = 32 * 1024;
+    /** Bytes in a period from which the client may have more to send: less than the usual initial receive window. */
+    private static final long MUCH_BYTES = 48 * 1024;
+
+    /** Messages in a period up to which these bytes are those of large messages, behind which a client waits. */
+    private static final int FEW_MESSAGES = 16;
 
     private static final long NOTHING_UNREAD = Long.MAX_VALUE;
 
@@ -25,6 +28,8 @@
     private long periodBeganAtMs;
     private long periodBytes;
     private long previousPeriodBytes;
+    private int periodMessages;
+    private int previousPeriodMessages;
     private boolean readToEnd;
     private boolean paused;
 
@@ -49,6 +54,11 @@
         }
     }
 
+    /** Called when a message has been decoded. */
+    void onMessage() {
+        periodMessages++;
+    }
+
     /** Called when reading is paused or resumed. */
     void setPaused(boolean isPaused, long nowMs) {
         advanceTo(nowMs);
@@ -63,8 +73,11 @@
         if (elapsedMs < PERIOD_MS) {
             return;
         }
-        previousPeriodBytes = elapsedMs < 2 * PERIOD_MS ? periodBytes : 0;
+        boolean isPrevious = elapsedMs < 2 * PERIOD_MS;
+        previousPeriodBytes = isPrevious ? periodBytes : 0;
+        previousPeriodMessages = isPrevious ? periodMessages : 0;
         periodBytes = 0;
+        periodMessages = 0;
         periodBeganAtMs = nowMs;
         if (!isMuch() && readToEnd && !paused) {
             unreadSinceMs = NOTHING_UNREAD;
@@ -72,19 +85,19 @@
     }
 
     private boolean isMuch() {
-        return Math.max(periodBytes, previousPeriodBytes) > MUCH_BYTES;
+        return Math.max(periodBytes, previousPeriodBytes) > MUCH_BYTES
+                && Math.max(periodMessages, previousPeriodMessages) > FEW_MESSAGES;
     }
 
     /**
      * Returns whether the client may have closed the connection too long ago for an attempt to begin.
      *
      * @param leftNothing whether the last read, which may have brought nothing, left nothing in this machine's buffer
-     * @param hasFurtherInput whether input behind the request in question has been read
      */
-    boolean mayHideClose(boolean leftNothing, boolean hasFurtherInput, long nowMs) {
+    boolean mayHideClose(boolean leftNothing, long nowMs) {
         readToEnd = leftNothing;
         advanceTo(nowMs);
-        boolean mayHaveMore = paused || !readToEnd || isMuch() && hasFurtherInput;
+        boolean mayHaveMore = paused || !readToEnd || isMuch();
         return mayHaveMore && unreadSinceMs <= nowMs - MAX_UNREAD_MS;
     }
 }
--- a/gateway/src/test/java/ploverdale/net/client/UnreadInputTest.java
+++ b/gateway/src/test/java/ploverdale/net/client/UnreadInputTest.java
@@ -14,49 +14,64 @@
     @Test
     void aRequestOnANewConnectionHidesNothing() {
         input.onRead(SMALL, true, 1, 0);
-        assertThat(input.mayHideClose(true, false, 2)).isFalse();
-        assertThat(input.mayHideClose(true, false, 500)).isFalse();
+        assertThat(input.mayHideClose(true, 2)).isFalse();
+        assertThat(input.mayHideClose(true, 500)).isFalse();
     }
 
     @Test
     void aClientMayHaveGoneBeforeItsConnectionWasAcceptedIfMoreIsUnread() {
         input.onRead(FULL, false, 1, 0);
-        assertThat(input.mayHideClose(false, true, 1)).isTrue();
+        assertThat(input.mayHideClose(false, 1)).isTrue();
     }
 
     @Test
     void unreadInputHidesACloseOnlyAfterSomeTime() {
         input.onRead(SMALL, true, 1, 0);
         input.onRead(FULL, false, 1000, 0);
-        assertThat(input.mayHideClose(false, true, 1040)).isFalse();
-        assertThat(input.mayHideClose(false, true, 1050)).isTrue();
+        assertThat(input.mayHideClose(false, 1040)).isFalse();
+        assertThat(input.mayHideClose(false, 1050)).isTrue();
     }
 
     @Test
     void bytesThatMayHaveWaitedWhileTheLoopLaggedCountFromThen() {
         input.onRead(SMALL, true, 1, 0);
         input.onRead(FULL, false, 1000, 40);
-        assertThat(input.mayHideClose(false, true, 1010)).isTrue();
+        assertThat(input.mayHideClose(false, 1010)).isTrue();
+    }
+
+    private void readMessages(int bytes, int messages, long atMs) {
+        input.onRead(bytes, true, atMs, 0);
+        for (int i = 0; i < messages; i++) {
+            input.onMessage();
+        }
     }
 
     @Test
     void aClientThatKeepsSendingMuchMayHaveMoreThanTheReceiveWindowAllows() {
-        input.onRead(SMALL, true, 1, 0);
+        readMessages(SMALL, 1, 1);
         for (int ms = 1000; ms <= 1060; ms++) {
-            input.onRead(FULL, true, ms, 0);
+            readMessages(FULL, 50, ms);
+        }
+        assertThat(input.mayHideClose(true, 1061)).isTrue();
+        assertThat(input.mayHideClose(true, 1260))
+                .as("TCP may hold back the rest")
+                .isTrue();
+        assertThat(input.mayHideClose(true, 1600)).as("after a pause").isFalse();
+    }
+
+    @Test
+    void aFewLargeMessagesHideNothing() {
+        for (int ms = 1000; ms <= 1200; ms += 10) {
+            readMessages(2 * FULL, 1, ms);
+            assertThat(input.mayHideClose(true, ms)).isFalse();
         }
-        assertThat(input.mayHideClose(true, true, 1061)).isTrue();
-        assertThat(input.mayHideClose(true, false, 1061))
-                .as("its last request, with nothing behind")
-                .isFalse();
-        assertThat(input.mayHideClose(true, true, 1101)).as("after a pause").isFalse();
     }
 
     @Test
     void aClientThatKeepsSendingLittleHidesNothing() {
-        for (int ms = 0; ms < 1000; ms++) {
-            input.onRead(SMALL, true, ms, 0);
-            assertThat(input.mayHideClose(true, true, ms)).isFalse();
+        for (int ms = 0; ms < 4000; ms += 4) {
+            readMessages(SMALL, 2, ms);
+            assertThat(input.mayHideClose(true, ms)).isFalse();
         }
     }
 
@@ -64,10 +79,10 @@
     void pausedInputHidesACloseUntilItIsReadToTheEndAgain() {
         input.onRead(SMALL, true, 1, 0);
         input.setPaused(true, 1000);
-        assertThat(input.mayHideClose(true, true, 1040)).isFalse();
-        assertThat(input.mayHideClose(true, true, 1051)).isTrue();
+        assertThat(input.mayHideClose(true, 1040)).isFalse();
+        assertThat(input.mayHideClose(true, 1051)).isTrue();
         input.setPaused(false, 1100);
         input.onRead(SMALL, true, 1101, 0);
-        assertThat(input.mayHideClose(true, true, 1102)).isFalse();
+        assertThat(input.mayHideClose(true, 1102)).isFalse();
     }
 }
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -40,12 +40,11 @@
     /** The database servers of the one replica group; the first is the primary at the beginning of a run. */
     public static final List<String> SERVERS = List.of("s-morning", "s-second", "s-third");
 
-    /** Ticks (a tenth of a millisecond) per millisecond. */
-    private static final long MS = 10;
+    private static final long MS = 10; // ticks (a tenth of a millisecond) per millisecond
 
     private static final long REPLICATION_DELAY_MS = 5;
 
-    /** Longer than the time from a session's write to its next read, so that replicas lack the write by then. */
+    /** Longer than from a session's write to its next read, so that replicas lack the write by then. */
     private static final long REPLICATION_DELAY_RECONNECTING_MS = 60;
 
     private static final long STALENESS_BOUND_MS = 500;
@@ -350,11 +349,10 @@
                             LossyLink.Conditions.parse(arguments.get(2)));
                 case SERVER -> changeServer(arguments.get(0), arguments.get(1));
                 case AGENT -> agents.change(Integer.toString(number), arguments.get(1), arguments.get(2));
-                case FLOOD ->
-                    floods.start(
-                            FloodClients.Flood.parse(arguments.subList(1, arguments.size())),
-                            new InetSocketAddress(peerLink.host(number), listenPorts.get(number)),
-                            random.nextLong());
+                case FLOOD -> {
+                    InetSocketAddress address = new InetSocketAddress(peerLink.host(number), listenPorts.get(number));
+                    floods.start(FloodClients.Flood.parse(arguments), address, random.nextLong());
+                }
                 case HANG_UP -> {
                     agents.follow(Integer.toString(number), arguments.get(1));
                     gateways.get(number).reload(settings(number).json());
--- a/tools/src/main/java/ploverdale/tools/stand/FloodClients.java
+++ b/tools/src/main/java/ploverdale/tools/stand/FloodClients.java
@@ -33,14 +33,14 @@
      * @param bytesPerConnection after how many bytes a client closes its connection and opens another one
      */
     public record Flood(FloodForm form, int clients, long durationMs, boolean readsAnswers, long bytesPerConnection) {
-        /** Parses the components in their order; "read" or "unread" says whether answers are read. */
+        /** Parses the arguments of a schedule's step: the gateway, and the components in their order. */
         public static Flood parse(List<String> arguments) {
             return new Flood(
-                    FloodForm.valueOf(arguments.get(0)),
-                    Integer.parseInt(arguments.get(1)),
-                    Long.parseLong(arguments.get(2)),
-                    arguments.get(3).equals("read"),
-                    Long.parseLong(arguments.get(4)));
+                    FloodForm.valueOf(arguments.get(1)),
+                    Integer.parseInt(arguments.get(2)),
+                    Long.parseLong(arguments.get(3)),
+                    arguments.get(4).equals("read"),
+                    Long.parseLong(arguments.get(5)));
         }
     }
 
--- a/tools/src/main/java/ploverdale/tools/stand/FloodConnection.java
+++ b/tools/src/main/java/ploverdale/tools/stand/FloodConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
@@ -71,6 +72,7 @@
         unsent = ByteBuffer.wrap(
                 flood.form().isAfterStartup() ? MessageWriter.startup().getBytes() : new byte[0]);
         channel = SocketChannel.open();
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.socket().connect(gateway, CONNECT_TIMEOUT_MS);
         channel.configureBlocking(false);
         return true;
