--- a/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -53,6 +53,13 @@
                 """);
     }
 
+    @Test
+    @Tag("known-red")
+    void noRequestIsSentAfterItsClientLeftWhileTcpHoldsBackItsInput() throws Exception {
+        Check check = Floods.play(109, 1, 1).get(0);
+        assertThat(check.holds()).as("%s", check).isTrue();
+    }
+
     @Test
     @Tag("known-red")
     void otherClientsAreAnsweredInTimeAndMemoryIsBoundedUnderRandomFloods() throws Exception {
