Keep a client's input paused while it waits for its turn

Cause: SessionInput.runQueuedAndDecode resumed reading at the end of each quantum, before the scheduler had queued the session again, so each turn read 16 KiB more than it ran. Change: the run itself says whether the session waits.

--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -41,7 +41,7 @@
         }
         runtime.inputScheduler().onInputRead(session);
         decoder.countBytes();
-        pauseWhileFull();
+        pauseWhileFull(runtime.inputScheduler().isBacklogged(session));
     }
 
     /**
@@ -75,7 +75,7 @@
         decoder.countBytes();
         trackIncompleteMessage(decoded, inputLeft);
         runtime.evictor().evictForMemory();
-        pauseWhileFull();
+        pauseWhileFull(inputLeft);
         return inputLeft;
     }
 
@@ -159,16 +159,13 @@
         }
     }
 
-    private void pauseWhileFull() {
+    /** Pauses the input while too much of it is queued, or undecoded although the session has to wait for its turn. */
+    private void pauseWhileFull(boolean waitsForTurn) {
         if (!isClosed() && !runtime.status().isReadingStopped()) {
-            socket.setPaused(queue.isFull() || isBacklogFull(), runtime.nowMs());
+            socket.setPaused(queue.isFull() || waitsForTurn && decoder.isBacklogFull(), runtime.nowMs());
         }
     }
 
-    private boolean isBacklogFull() {
-        return runtime.inputScheduler().isBacklogged(session) && decoder.isBacklogFull();
-    }
-
     /** Runs the query that was held until the gateway started serving, and the messages after it. */
     void runHeldQuery() {
         messageHandler.runHeldQuery();
--- a/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import ploverdale.tools.fleet.FaultSchedule;
 import ploverdale.tools.fleet.Fleet;
+import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.stand.FloodForm;
 
@@ -44,6 +45,16 @@
                 """);
     }
 
+    @Test
+    void otherClientsAreNotRefusedWhileAFloodLasts() throws Exception {
+        FaultSchedule schedule = FaultSchedule.read("""
+                day seed=1 gateways=1 lasts=11000
+                500 flood n0 SYNCS 6 10000 read 9000000000
+                """);
+        FleetResult result = Fleet.run(schedule, Floods.workload(Launch.locate(List.of()), schedule));
+        assertThat(result.readsSucceeded()).as(result.figures()).isGreaterThan(result.readsSent() * 9 / 10);
+    }
+
     @Test
     void noRequestIsSentAfterItsClientLeftWithMuchUnread() throws Exception {
         assertHolds("""
