Doubt only clients that do not wait for their answers

Cause: UnreadInput counted every message, so a client that sends one request after the other, each behind its answer, thousands a second, was taken for a flood and refused. Change: only messages that arrive before an earlier one was answered are counted.

--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -80,6 +80,11 @@
         return !pipeline.isFull() && !writer.isBlocked();
     }
 
+    /** Returns whether the client waits for responses to earlier commands. */
+    boolean awaitsResponses() {
+        return !pipeline.isEmpty();
+    }
+
     /** Runs the query that was held until the gateway started serving, and the messages after it. */
     void runHeldQuery() {
         input.runHeldQuery();
--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -88,7 +88,9 @@
                 return decoded;
             }
             decoded = true;
-            socket.onMessage();
+            if (session.awaitsResponses() || !queue.isEmpty()) {
+                socket.onPipelinedMessage();
+            }
             if (message instanceof ClientMessage.Terminate) {
                 session.close();
             } else {
--- a/gateway/src/main/java/ploverdale/net/client/SocketInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SocketInput.java
@@ -84,9 +84,9 @@
         return unread.mayHideClose(NioSockets.lastReadWasShort(socket), nowMs);
     }
 
-    /** Called when a message has been decoded. */
-    void onMessage() {
-        unread.onMessage();
+    /** Called when a message has been decoded before an earlier one was answered. */
+    void onPipelinedMessage() {
+        unread.onPipelinedMessage();
     }
 
     /**
--- a/gateway/src/main/java/ploverdale/net/client/UnreadInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/UnreadInput.java
@@ -16,7 +16,7 @@
     /** Bytes in a period from which the client may have more to send: less than the usual initial receive window. */
     private static final long MUCH_BYTES = 48 * 1024;
 
-    /** Messages in a period up to which these bytes are those of large messages, behind which a client waits. */
+    /** Pipelined messages in a period up to which these bytes are those of a client that waits for its answers. */
     private static final int FEW_MESSAGES = 16;
 
     private static final long NOTHING_UNREAD = Long.MAX_VALUE;
@@ -54,8 +54,8 @@
         }
     }
 
-    /** Called when a message has been decoded. */
-    void onMessage() {
+    /** Called when a message has been decoded before an earlier one was answered: the client does not wait. */
+    void onPipelinedMessage() {
         periodMessages++;
     }
 
