--- a/review/standin-2/CopyCase.java
+++ b/review/standin-2/CopyCase.java
@@ -57,7 +57,7 @@
         int port = Gateway.freePort();
         Gateway gateway = new Gateway(folder, "n1", new InetSocketAddress("127.0.0.1", port));
         List<Settings.Type> types = Settings.tills("once", 0);
-        gateway.start(Settings.configuration("n1", "127.0.0.1:" + port, agent.address(), agent.whole(), types));
+        gateway.start(Settings.configuration("n1", "127.0.0.1:" + port, agent.address(), agent.whole(), types, "piggyback"));
         record.say("ready");
         double end = Clock.now() + SECONDS * 1000.0;
         List<Thread> threads = new ArrayList<>();
--- a/review/standin-2/Database.java
+++ b/review/standin-2/Database.java
@@ -76,7 +76,8 @@
             type = field(text, "c");
             write = text.startsWith("INSERT");
             Matcher quoted = Pattern.compile("'([^']*)'").matcher(text);
-            key = quoted.find() ? quoted.group(1) : "";
+            String whole = quoted.find() ? quoted.group(1) : "";
+            key = whole.length() <= 40 ? whole : whole.substring(0, 40); // long keys differ within these, too
         }
 
         String value() {
@@ -138,6 +139,7 @@
     private final Map<Socket, Statement> latest = new ConcurrentHashMap<>();
     private final Map<Socket, Double> deliveredAt = new ConcurrentHashMap<>();
     private final java.util.Random jitter = new java.util.Random(1);
+    private volatile boolean reportsInAnswers = true;
     private volatile double oneWayMs;
     private volatile double jitterShare;
     private volatile boolean primary;
@@ -190,6 +192,11 @@
         jitterShare = jitterAsShare;
     }
 
+    /** Has load reports go out in answers to probes alone. */
+    void reportToProbesAlone() {
+        reportsInAnswers = false;
+    }
+
     private synchronized double transit() {
         double share = Math.max(-2, Math.min(2, jitter.nextGaussian())) * jitterShare;
         return oneWayMs * (1 + share);
@@ -263,7 +270,7 @@
             String words;
             if (statement.write && !primary) {
                 answer.parameter("rank", "copy").parameter("as_of", Long.toString((long) Math.floor(position())));
-                answer.parameter("vitals", vitals).error("25006", "this is no primary").ready();
+                report(answer).error("25006", "this is no primary").ready();
                 words = "25006";
             } else if (statement.write) {
                 Log.Commit earlier = log.of(statement.id);
@@ -271,7 +278,7 @@
                 Log.Commit commit =
                         earlier != null ? earlier : log.commit(statement.id, statement.key, statement.value());
                 answer.parameter("rank", "source").parameter("as_of", Long.toString(commit.at()));
-                answer.parameter("vitals", vitals);
+                report(answer);
                 answer.row(commit.value().getBytes(StandardCharsets.UTF_8), "INSERT 0 1").ready();
                 words = (earlier != null ? "dropped as a repeat of the commit at " : "committed at ") + commit.at();
             } else {
@@ -279,7 +286,7 @@
                 String value = log.value(statement.key, position);
                 answer.parameter("rank", primary ? "source" : "copy");
                 answer.parameter("as_of", Long.toString((long) Math.floor(position)));
-                answer.parameter("vitals", vitals);
+                report(answer);
                 answer.row(value.getBytes(StandardCharsets.UTF_8), "SELECT 1").ready();
                 behaviour.readAnswered(statement, position, lagAtArrival);
                 words = "'" + value + "', data " + Math.round(lagAtArrival) + " ms old when the read arrived";
@@ -297,6 +304,10 @@
         }
     }
 
+    private Wire report(Wire answer) {
+        return reportsInAnswers ? answer.parameter("vitals", vitals) : answer;
+    }
+
     private void sendCopy(Statement statement, Wire answer) throws IOException {
         boolean nothingElseWaits = latest.get(statement.connection) == statement
                 && statement.connection.getInputStream().available() == 0;
--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -83,6 +83,10 @@
         return process.isAlive();
     }
 
+    int exitCode() {
+        return process.exitValue();
+    }
+
     long pid() {
         return process.pid();
     }
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -47,6 +47,7 @@
         return switch (name) {
             case "copy" -> new CopyCase();
             case "session" -> new SessionCase();
+            case "keys" -> new KeyCase();
             default -> throw new IllegalArgumentException("no case " + name);
         };
     }
