--- a/review/standin-2/Database.java
+++ b/review/standin-2/Database.java
@@ -49,11 +49,11 @@
             return value;
         }
 
-        /** Returns the time of the newest commit of a key; 0 if there is none. */
-        synchronized long newest(String key) {
+        /** Returns the time of the newest commit of a key before this time; 0 if there is none. */
+        synchronized long newestBefore(String key, double time) {
             long at = 0;
             for (Commit commit : commits) {
-                at = commit.key().equals(key) ? Math.max(at, commit.at()) : at;
+                at = commit.key().equals(key) && commit.at() < time ? Math.max(at, commit.at()) : at;
             }
             return at;
         }
@@ -103,16 +103,13 @@
             return true;
         }
 
-        /**
-         * Returns whether a second copy of the answer is written right behind it. It is left out if anything has
-         * arrived on the connection by then.
-         */
-        default boolean copies(Statement statement) {
-            return false;
+        /** Returns how many milliseconds late a new connection comes up. */
+        default double connectionLateBy() {
+            return 0;
         }
 
-        /** Called when a second copy has been written. */
-        default void copySent(Statement statement) {}
+        /** Called when an answer has been written that tells the gateway that this server is no primary. */
+        default void toldAsCopy() {}
 
         /** Called when a read has been answered from data up to this position. */
         default void readAnswered(Statement statement, double position, double lagAtArrival) {}
@@ -130,18 +127,8 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final ScheduledExecutorService wires = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "network");
-        thread.setDaemon(true);
-        return thread;
-    });
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-    private final Map<Socket, Statement> latest = new ConcurrentHashMap<>();
-    private final Map<Socket, Double> deliveredAt = new ConcurrentHashMap<>();
-    private final java.util.Random jitter = new java.util.Random(1);
-    private volatile boolean reportsInAnswers = true;
-    private volatile double oneWayMs;
-    private volatile double jitterShare;
+    private volatile boolean dropsRepeats = true;
     private volatile boolean primary;
     private volatile Function<Double, Double> lag = now -> 15.0;
     private volatile String vitals = "";
@@ -183,23 +170,9 @@
         lag = lagAt;
     }
 
-    /**
-     * Puts a network between the server and its gateways: what either side writes arrives after this time, give or take
-     * some of it, and in order.
-     */
-    void setLink(double meanMs, double jitterAsShare) {
-        oneWayMs = meanMs;
-        jitterShare = jitterAsShare;
-    }
-
-    /** Has load reports go out in answers to probes alone. */
-    void reportToProbesAlone() {
-        reportsInAnswers = false;
-    }
-
-    private synchronized double transit() {
-        double share = Math.max(-2, Math.min(2, jitter.nextGaussian())) * jitterShare;
-        return oneWayMs * (1 + share);
+    /** Has each write that arrives run, as servers do with writes that carry no mark. */
+    void runRepeats() {
+        dropsRepeats = false;
     }
 
     /** Returns up to when all commits are applied here; it never goes back. */
@@ -230,15 +203,13 @@
         try (connection) {
             DataInputStream in = new DataInputStream(new BufferedInputStream(connection.getInputStream(), 1 << 16));
             Wire.readStartup(in);
+            Clock.sleep(behaviour.connectionLateBy());
             send(connection, new Wire().authenticationOk().ready());
             while (true) {
                 Wire.Message message = Wire.read(in);
                 if (message.type() == 'X') {
                     return;
                 }
-                if (oneWayMs > 0) {
-                    Clock.sleep(transit());
-                }
                 onQuery(connection, new String(message.body(), 0, message.body().length - 1, StandardCharsets.UTF_8));
             }
         } catch (IOException closed) {
@@ -256,7 +227,6 @@
             send(connection, new Wire().emptyQueryResponse().ready());
         } else {
             Statement statement = new Statement(connection, text);
-            latest.put(connection, statement);
             record.line(name + " got " + (statement.write ? "write " : "read ") + statement.id + " of " + statement.key);
             double lagAtArrival = statement.arrivedAt - position();
             double work = behaviour.work(statement);
@@ -268,12 +238,13 @@
         try {
             Wire answer = new Wire();
             String words;
+            boolean wasPrimary = primary;
             if (statement.write && !primary) {
                 answer.parameter("rank", "copy").parameter("as_of", Long.toString((long) Math.floor(position())));
                 report(answer).error("25006", "this is no primary").ready();
                 words = "25006";
             } else if (statement.write) {
-                Log.Commit earlier = log.of(statement.id);
+                Log.Commit earlier = dropsRepeats ? log.of(statement.id) : null;
                 // the mark is known: the repeat is dropped and gets the answer of the write that ran
                 Log.Commit commit =
                         earlier != null ? earlier : log.commit(statement.id, statement.key, statement.value());
@@ -284,7 +255,7 @@
             } else {
                 double position = position();
                 String value = log.value(statement.key, position);
-                answer.parameter("rank", primary ? "source" : "copy");
+                answer.parameter("rank", wasPrimary ? "source" : "copy");
                 answer.parameter("as_of", Long.toString((long) Math.floor(position)));
                 report(answer);
                 answer.row(value.getBytes(StandardCharsets.UTF_8), "SELECT 1").ready();
@@ -295,8 +266,8 @@
             record.line(name + " " + statement.id + ": " + words + (answers ? "" : ", the answer is lost"));
             if (answers) {
                 send(statement.connection, answer);
-                if (behaviour.copies(statement)) {
-                    sendCopy(statement, answer);
+                if (!wasPrimary) {
+                    behaviour.toldAsCopy();
                 }
             }
         } catch (IOException gone) {
@@ -305,17 +276,7 @@
     }
 
     private Wire report(Wire answer) {
-        return reportsInAnswers ? answer.parameter("vitals", vitals) : answer;
-    }
-
-    private void sendCopy(Statement statement, Wire answer) throws IOException {
-        boolean nothingElseWaits = latest.get(statement.connection) == statement
-                && statement.connection.getInputStream().available() == 0;
-        if (nothingElseWaits) {
-            send(statement.connection, answer);
-            behaviour.copySent(statement);
-            record.line(name + " " + statement.id + ": a second copy right behind");
-        }
+        return answer.parameter("vitals", vitals);
     }
 
     /** Resets a connection. */
@@ -332,28 +293,10 @@
         return scheduler;
     }
 
-    private void send(Socket connection, Wire answer) throws IOException {
-        byte[] bytes = answer.bytes();
-        if (oneWayMs == 0) {
-            write(connection, bytes);
-            return;
-        }
-        double at;
+    private static void send(Socket connection, Wire answer) throws IOException {
         synchronized (connection) {
-            at = Math.max(Clock.now() + transit(), deliveredAt.getOrDefault(connection, 0.0) + 0.01);
-            deliveredAt.put(connection, at);
-        }
-        wires.schedule(() -> write(connection, bytes), (long) ((at - Clock.now()) * 1e6), TimeUnit.NANOSECONDS);
-    }
-
-    private static void write(Socket connection, byte[] bytes) {
-        try {
-            synchronized (connection) {
-                connection.getOutputStream().write(bytes);
-                connection.getOutputStream().flush();
-            }
-        } catch (IOException gone) {
-            return; // the other side has closed the connection
+            connection.getOutputStream().write(answer.bytes());
+            connection.getOutputStream().flush();
         }
     }
 
--- a/review/standin-2/KeyCase.java
+++ b/review/standin-2/KeyCase.java
@@ -25,7 +25,7 @@
         int port = Gateway.freePort();
         Gateway gateway = new Gateway(folder, "n1", new InetSocketAddress("127.0.0.1", port));
         gateway.start(Settings.configuration(
-                "n1", "127.0.0.1:" + port, agent.address(), agent.whole(), Settings.tills("once", 0), "piggyback"));
+                "n1", "127.0.0.1:" + port, agent.address(), agent.whole(), Settings.tills("once", 0)));
         record.say("ready");
         AtomicInteger served = new AtomicInteger();
         AtomicInteger broken = new AtomicInteger();
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -45,9 +45,10 @@
 
     private static Case byName(String name) {
         return switch (name) {
-            case "copy" -> new CopyCase();
             case "session" -> new SessionCase();
             case "keys" -> new KeyCase();
+            case "again" -> new AgainCase();
+            case "role" -> new RoleCase();
             default -> throw new IllegalArgumentException("no case " + name);
         };
     }
--- a/review/standin-2/SessionCase.java
+++ b/review/standin-2/SessionCase.java
@@ -62,7 +62,7 @@
         int port = Gateway.freePort();
         Gateway gateway = new Gateway(folder, "n1", new InetSocketAddress("127.0.0.1", port));
         List<Settings.Type> types = Settings.tills("by_key", 2000);
-        gateway.start(Settings.configuration("n1", "127.0.0.1:" + port, agent.address(), agent.whole(), types, "piggyback"));
+        gateway.start(Settings.configuration("n1", "127.0.0.1:" + port, agent.address(), agent.whole(), types));
         record.say("ready");
 
         double lagFrom = Clock.now() + 3000;
--- a/review/standin-2/Settings.java
+++ b/review/standin-2/Settings.java
@@ -28,7 +28,7 @@
                 new Type("sale-close", 1500, 5000, effectOfSales, windowMs, 0.5, "mutate", 0));
     }
 
-    static String configuration(String name, String listen, String discovery, String known, List<Type> types, String reports) {
+    static String configuration(String name, String listen, String discovery, String known, List<Type> types) {
         StringBuilder profiles = new StringBuilder();
         StringBuilder reads = new StringBuilder();
         StringBuilder bounds = new StringBuilder();
@@ -49,7 +49,7 @@
                 + "\"specifics\":{\"classRead\":[" + reads + "],\"oldestDataMs\":[" + bounds + "],"
                 + "\"positions\":true,\"positionZeroMs\":0,\"checks\":\"silent\",\"waitMs\":0,\"tokens\":\"kept\","
                 + "\"roleListed\":\"static\",\"sync\":false},\n"
-                + "\"report\":{\"via\":\"" + reports + "\",\"fields\":[\"x0\",\"x1\",\"busy\"]},\n"
+                + "\"report\":{\"via\":\"piggyback\",\"fields\":[\"x0\",\"x1\",\"busy\"]},\n"
                 + "\"callers\":{\"marksRetry\":false},\"valueBy\":\"request\",\"weights\":\"rough\",\n"
                 + "\"policyLimits\":{\"sendCap\":6,\"cancel\":true,\"probes\":true,\"peerMessages\":false,"
                 + "\"retryAfter\":true,\"maxRetryAfterMs\":500,\"connectTimeoutMs\":250,\"idleCloseMs\":15000,"
