--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Plays the case of this folder; see claim.txt. Exit codes: 1 the rule was broken, 0 it held, 2 it could not run.
-exec sh "$(dirname "$0")/../standin-2/start.sh" role "$(dirname "$0")"
+exec sh "$(dirname "$0")/../standin-2/start.sh" flood "$(dirname "$0")"
--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -20,6 +20,7 @@
     private final Path folder;
     private final String name;
     private final InetSocketAddress listen;
+    private String prelude = "";
     private Process process;
 
     Gateway(Path folder, String name, InetSocketAddress listen) {
@@ -38,6 +39,11 @@
         return listen;
     }
 
+    /** Has the process hold at most so many descriptors, as the platform does. */
+    void limitDescriptors(int most) {
+        prelude = "ulimit -n " + most + "; ";
+    }
+
     Path configurationFile() {
         return folder.resolve(name + ".json");
     }
@@ -46,7 +52,7 @@
     void start(String configuration) throws IOException {
         Files.writeString(configurationFile(), configuration);
         File root = new File(".").getCanonicalFile();
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand(root.toPath()));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", prelude + runCommand(root.toPath()));
         builder.directory(root);
         builder.environment().put("EDGE_CONFIG", configurationFile().toString());
         builder.environment().put("EDGE_NAME", name);
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -47,6 +47,7 @@
         return switch (name) {
             case "session" -> new SessionCase();
             case "keys" -> new KeyCase();
+            case "flood" -> new FloodCase();
             case "again" -> new AgainCase();
             case "role" -> new RoleCase();
             default -> throw new IllegalArgumentException("no case " + name);
