--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -12,9 +13,24 @@
 /** One gateway: a process of its own, started with the `run` command of the deploy file from the repository's root. */
 final class Gateway {
     private static final List<Process> STARTED = new ArrayList<>();
+    /** Files with the ids of the processes, for the script in case this process is killed outright. */
+    private static final List<Path> PIDS = new ArrayList<>();
 
     static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+        Runtime.getRuntime().addShutdownHook(new Thread(Gateway::endAll));
+    }
+
+    private static synchronized void endAll() {
+        STARTED.forEach(Process::destroyForcibly);
+        STARTED.forEach(process -> process.onExit().orTimeout(5, TimeUnit.SECONDS).exceptionally(late -> process).join());
+        PIDS.forEach(file -> file.toFile().delete());
+    }
+
+    private static synchronized void remember(Process process, Path folder) throws IOException {
+        STARTED.add(process);
+        Path file = folder.resolve("pids");
+        PIDS.add(file);
+        Files.writeString(file, process.pid() + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
     }
 
     private final Path folder;
@@ -60,7 +76,7 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         process = builder.start();
-        STARTED.add(process);
+        remember(process, folder);
         long until = System.currentTimeMillis() + 30_000;
         while (System.currentTimeMillis() < until && process.isAlive()) {
             try (Client client = new Client(listen)) {
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -22,9 +22,13 @@
     private Main() {}
 
     public static void main(String[] arguments) {
+        ProcessHandle script = ProcessHandle.current().parent().orElseThrow();
         Thread watchdog = new Thread(() -> {
-            Clock.sleep(MOST_MS);
-            System.out.println("the case took too long");
+            double until = Clock.now() + MOST_MS;
+            while (Clock.now() < until && script.isAlive()) {
+                Clock.sleep(200);
+            }
+            System.out.println(script.isAlive() ? "the case took too long" : "its script has ended");
             System.exit(2);
         });
         watchdog.setDaemon(true);
--- a/review/standin-2/start.sh
+++ b/review/standin-2/start.sh
@@ -15,6 +15,14 @@
 trap 'kill "$pid" 2>/dev/null' INT TERM HUP
 wait "$pid"
 code=$?
+while kill -0 "$pid" 2>/dev/null; do # a signal ends the wait before the case has ended
+    wait "$pid"
+done
+if [ -f "$work/pids" ]; then # only there if the case was killed outright, before it could end its gateway
+    while read -r gateway; do
+        kill -KILL "$gateway" 2>/dev/null
+    done < "$work/pids"
+fi
 rm -rf "$work"
 [ "$code" -le 2 ] || code=2
 exit "$code"
