Do not keep closed and refused connections in memory until a timer fires

Cause: LingeringClose set a timer of 500 ms for each socket, RefusedConnection one of 100 ms. Each holds the socket, its channel and what has been read of it, also after the client has closed the connection. Refusing a connection also decoded up to 64 KiB of requests only to count them, read another 64 KiB while lingering and 64 KiB more before the close.

Evidence: class histogram at 81 MB of heap, 512 descriptors configured: 6,665 NioSocketChannel, 4,465 timers, 49 MB of byte arrays.

Change: one periodic check closes lingering connections; a refused connection ends its timer and drops its input when it is done; requests that are only rejected are counted by their headers (ClientMessageReader.skipQueries); a connection that is refused or ended reads one buffer at a time.

PostgresMessagesTest checks the count.

--- a/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
@@ -46,6 +46,7 @@
             runtime.inFlight().failOverdue(runtime.nowMs());
         }
         runtime.evictor().evictOverdue();
+        runtime.lingeringClose().closeOverdue();
     }
 
     // -- Connections
--- a/gateway/src/main/java/ploverdale/net/client/ClientListener.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientListener.java
@@ -37,13 +37,14 @@
                         "of a client, " + runtime.limits().clientConnections() + " of clients");
         runtime.limits().onClientRefused();
         socket.exceptionHandler(failure -> {});
+        NioSockets.limitReadsToOne(socket);
         boolean descriptorsShort = runtime.limits().excessConnections() > 0;
-        RefusedConnection refused =
-                new RefusedConnection(socket, runtime.cancels()::cancel, () -> lingeringClose.close(socket));
+        RefusedConnection refused = new RefusedConnection(
+                runtime.vertx(), socket, runtime.cancels()::cancel, () -> lingeringClose.close(socket));
         socket.closeHandler(closed -> {
             refused.onClosed();
             lingeringClose.onClosed(socket);
         });
-        refused.refuseWithin(descriptorsShort ? 0 : REFUSED_STARTUP_WAIT_MS, runtime.vertx());
+        refused.refuseWithin(descriptorsShort ? 0 : REFUSED_STARTUP_WAIT_MS);
     }
 }
--- a/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
@@ -47,7 +47,7 @@
         this.clock = clock;
         this.readTimeoutMs = readTimeoutMs(settings);
         this.memory = new MemoryBudget(log);
-        this.lingeringClose = new LingeringClose(vertx, log, limits, status);
+        this.lingeringClose = new LingeringClose(vertx, log, limits, status, clock.clock());
         this.inFlight = new InFlightRequests(log, eventLoop, memory, clock.clock());
         this.acceptor = new RequestAcceptor(eventLoop, settings, limits, clock, inFlight);
         this.evictor = new SessionEvictor(log, limits, clock, status, memory);
--- a/gateway/src/main/java/ploverdale/net/client/LingeringClose.java
+++ b/gateway/src/main/java/ploverdale/net/client/LingeringClose.java
@@ -6,8 +6,9 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import ploverdale.clock.Clock;
 import ploverdale.limits.ConnectionLimits;
 import ploverdale.log.Log;
 import ploverdale.net.eventloop.NioSockets;
@@ -30,14 +31,16 @@
     private final Log log;
     private final ConnectionLimits<ClientSession> limits;
     private final ServiceStatus status;
-    private final Set<NetSocket> lingering = new LinkedHashSet<>(); // oldest first
+    private final Clock clock;
+    private final Map<NetSocket, DiscardedInput> lingering = new LinkedHashMap<>(); // oldest first
     private int unflushed;
 
-    LingeringClose(Vertx vertx, Log log, ConnectionLimits<ClientSession> limits, ServiceStatus status) {
+    LingeringClose(Vertx vertx, Log log, ConnectionLimits<ClientSession> limits, ServiceStatus status, Clock clock) {
         this.vertx = vertx;
         this.log = log;
         this.limits = limits;
         this.status = status;
+        this.clock = clock;
     }
 
     /** Shuts the output down after everything written has been sent, and discards the input. Call once per socket. */
@@ -69,20 +72,28 @@
 
     /** Discards the input of a connection whose output has been shut down, and closes it after a time limit. */
     private void discardInput(NetSocket socket) {
-        lingering.add(socket);
-        DiscardedInput discarded = new DiscardedInput(socket);
+        NioSockets.limitReadsToOne(socket);
+        DiscardedInput discarded = new DiscardedInput(socket, clock.monotonicMs() + LINGER_MS);
+        lingering.put(socket, discarded);
         socket.handler(discarded::onBytes);
-        vertx.setTimer(LINGER_MS, timer -> discarded.close());
         closeOldest(limits.excessConnections());
     }
 
     /** Closes the given number of lingering connections, oldest first; none if the number is 0 or negative. */
     void closeOldest(int count) {
-        for (NetSocket socket : lingering.stream().limit(Math.max(0, count)).toList()) {
-            lingering.remove(socket);
-            NioSockets.readNow(socket);
-            socket.close();
-        }
+        lingering.values().stream().limit(Math.max(0, count)).toList().forEach(DiscardedInput::close);
+    }
+
+    /**
+     * Closes the connections whose time limit has passed; to be called periodically. A timer for each connection would
+     * keep it in memory until then, also if its client closes it at once.
+     */
+    void closeOverdue() {
+        long nowMs = clock.monotonicMs();
+        lingering.values().stream()
+                .takeWhile(discarded -> discarded.closeAtMs <= nowMs)
+                .toList()
+                .forEach(DiscardedInput::close);
     }
 
     /** Called when a socket has been closed, whether it lingered or not. */
@@ -105,10 +116,12 @@
     /** Discards the input of one lingering connection. */
     private final class DiscardedInput {
         private final NetSocket socket;
+        private final long closeAtMs;
         private int bytes;
 
-        private DiscardedInput(NetSocket socket) {
+        private DiscardedInput(NetSocket socket, long closeAtMs) {
             this.socket = socket;
+            this.closeAtMs = closeAtMs;
         }
 
         private void onBytes(Buffer received) {
@@ -125,6 +138,7 @@
 
         /** Closes the socket; reads the remaining input first, unless the client has exceeded the limit. */
         private void close() {
+            lingering.remove(socket);
             if (!exceedsLimit()) {
                 NioSockets.readNow(socket);
             }
--- a/gateway/src/main/java/ploverdale/net/client/RefusedConnection.java
+++ b/gateway/src/main/java/ploverdale/net/client/RefusedConnection.java
@@ -20,36 +20,49 @@
 
     private static final String ENCRYPTION_NOT_SUPPORTED = "N";
 
+    private static final long NO_TIMER = -1;
+
+    private final Vertx vertx;
     private final NetSocket socket;
     private final Consumer<ClientMessage.CancelRequest> cancelHandler;
     private final Runnable closer;
     private final ClientMessageReader reader = new ClientMessageReader();
     private boolean finished;
+    private long timer = NO_TIMER;
 
     /**
      * @param cancelHandler called with a cancel message, which is accepted without capacity
      * @param closer called to close the connection after the last response has been written
      */
-    RefusedConnection(NetSocket socket, Consumer<ClientMessage.CancelRequest> cancelHandler, Runnable closer) {
+    RefusedConnection(
+            Vertx vertx, NetSocket socket, Consumer<ClientMessage.CancelRequest> cancelHandler, Runnable closer) {
+        this.vertx = vertx;
         this.socket = socket;
         this.cancelHandler = cancelHandler;
         this.closer = closer;
     }
 
     /** Refuses the connection when its startup message has been received, or else after this time. */
-    void refuseWithin(long waitMs, Vertx vertx) {
+    void refuseWithin(long waitMs) {
         socket.handler(this::onBytes);
         if (waitMs == 0) {
             NioSockets.readNow(socket); // requests received already are answered individually
             refuse(0);
         } else {
-            vertx.setTimer(waitMs, timer -> refuse(0));
+            timer = vertx.setTimer(waitMs, timerId -> refuse(0));
         }
     }
 
     /** Called when the client has closed the connection; nothing is written after that. */
     void onClosed() {
+        finish();
+    }
+
+    /** Ends the wait for the startup message, and releases what has been received. */
+    private void finish() {
         finished = true;
+        reader.clear();
+        vertx.cancelTimer(timer);
     }
 
     private void onBytes(Buffer bytes) {
@@ -64,7 +77,7 @@
             socket.write(encryptionAnswers);
         }
         if (first instanceof ClientMessage.CancelRequest cancel) {
-            finished = true;
+            finish();
             cancelHandler.accept(cancel);
             closer.run();
         } else if (first != null) {
@@ -73,15 +86,7 @@
     }
 
     private int countRequests() {
-        int requests = 0;
-        ClientMessage message = reader.next();
-        while (message != null && requests < MAX_REQUESTS_ANSWERED && !message.closesConnection()) {
-            if (message.expectsQueryResponse()) {
-                requests++;
-            }
-            message = reader.next();
-        }
-        return requests;
+        return Math.min(MAX_REQUESTS_ANSWERED, reader.skipQueries());
     }
 
     /** Writes one error for the startup message and the first request, and one for each further request. */
@@ -89,7 +94,7 @@
         if (finished) {
             return;
         }
-        finished = true;
+        finish();
         Buffer answers = ErrorResponses.fatal(SqlStates.TOO_MANY_CONNECTIONS, "too many connections");
         Buffer further = ErrorResponses.error(SqlStates.TOO_MANY_CONNECTIONS, "not run, too many connections");
         for (int i = 1; i < requests; i++) {
--- a/gateway/src/main/java/ploverdale/net/eventloop/NioSockets.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/NioSockets.java
@@ -3,6 +3,7 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
@@ -46,6 +47,13 @@
                                 .maxMessagesPerRead(MAX_READS_PER_TURN));
     }
 
+    /** Limits what a turn of the event loop, or {@link #readNow}, reads from the socket to one buffer. */
+    public static void limitReadsToOne(NetSocket socket) {
+        channel(socket)
+                .config()
+                .setRecvByteBufAllocator(new FixedRecvByteBufAllocator(MAX_READ_BYTES).maxMessagesPerRead(1));
+    }
+
     /**
      * Returns whether the last read left nothing in the operating system's buffer: it brought less than it had room
      * for. False before the first read.
--- a/gateway/src/main/java/ploverdale/net/postgres/ClientMessageReader.java
+++ b/gateway/src/main/java/ploverdale/net/postgres/ClientMessageReader.java
@@ -53,6 +53,11 @@
         return frames.size();
     }
 
+    /** Returns the size of the buffer that holds the received bytes; at least their number. */
+    public int bufferCapacity() {
+        return frames.capacity();
+    }
+
     /**
      * Skips the incomplete or unacceptable message at the head of the stream, including the part that is still to be
      * received.
@@ -72,6 +77,28 @@
         return true;
     }
 
+    /**
+     * Skips the messages that have been received completely, up to one that ends the stream, without decoding them. To be
+     * used after the startup message.
+     *
+     * @return the number of queries among them, each of which expects a response
+     */
+    public int skipQueries() {
+        int queries = 0;
+        while (frames.isSkipComplete() && frames.size() >= HEADER_BYTES) {
+            char type = (char) frames.int8(0);
+            int length = frames.int32(1);
+            boolean isValid = MESSAGE_TYPES.indexOf(type) >= 0 && length >= 4 && length <= MAX_SKIPPED_BYTES;
+            boolean isQuery = type == 'Q';
+            if (!isValid || isQuery && length <= MAX_QUERY_BYTES && frames.size() < 1 + length) {
+                return queries;
+            }
+            frames.skip(1 + length);
+            queries += isQuery ? 1 : 0;
+        }
+        return queries;
+    }
+
     /** Decodes the next message; returns null if more bytes are needed. */
     public ClientMessage next() {
         return startupReceived ? nextMessage() : nextStartup();
--- a/gateway/src/main/java/ploverdale/net/postgres/FrameBuffer.java
+++ b/gateway/src/main/java/ploverdale/net/postgres/FrameBuffer.java
@@ -46,6 +46,11 @@
         return end - start;
     }
 
+    /** Returns the size of the array that holds the bytes. */
+    int capacity() {
+        return buffer.length;
+    }
+
     /** Returns the unsigned byte at an index from the start of the buffered bytes. */
     int int8(int index) {
         return buffer[start + index] & 0xff;
--- a/gateway/src/test/java/ploverdale/net/postgres/PostgresMessagesTest.java
+++ b/gateway/src/test/java/ploverdale/net/postgres/PostgresMessagesTest.java
@@ -185,4 +185,31 @@
                 .appendInt(70_000));
         assertThat(reader.next()).isInstanceOf(ServerMessage.Malformed.class);
     }
+
+    @Test
+    void skippedQueriesAreCountedAsIfTheyHadBeenDecoded() {
+        ClientMessageReader reader = readerAfterStartup();
+        reader.feed(query(READ_QUERY)
+                .appendBuffer(query(" ; "))
+                .appendBuffer(query("no comment"))
+                .appendByte((byte) 'S')
+                .appendInt(4)
+                .appendBuffer(query("x".repeat(200_000)))
+                .appendBuffer(query(READ_QUERY).getBuffer(0, 20)));
+        assertThat(reader.skipQueries()).isEqualTo(4);
+        assertThat(reader.next()).isNull();
+        reader.feed(query(READ_QUERY).getBuffer(20, query(READ_QUERY).length()).appendString("~~~~~~~~"));
+        assertThat(reader.skipQueries()).isEqualTo(1);
+        assertThat(reader.next().closesConnection()).isTrue();
+    }
+
+    @Test
+    void theBufferIsReleasedOnceLongInputHasBeenDecoded() {
+        ClientMessageReader reader = readerAfterStartup();
+        reader.feed(query("x".repeat(20_000)).appendBuffer(query(READ_QUERY)));
+        reader.next();
+        assertThat(reader.bufferCapacity()).isGreaterThan(20_000).isGreaterThan(reader.bufferedBytes());
+        reader.next();
+        assertThat(reader.bufferCapacity()).isZero();
+    }
 }
