Bound what clients that wait for their turn may have read, and count it as held

Cause: SessionInput.onBytes paused a session only if it was backlogged, that is, after its first turn. One that waited for its first turn was read on, up to all that its client had sent; with a new connection for each 150,000 bytes those were the most. The budget counted decoded messages by their text plus 64 bytes, and undecoded bytes by their number, not by the buffer that holds them. While it was used up, only sessions with an incomplete message were evicted, 24 bytes each.

Evidence: log of the case on the old code: `too much unfinished: given up with 24 bytes,  held in all`, `stood still` for 0.5 to 2.1 s, runs of one client of 42 to 48 ms where 0.5 are granted; then out of memory.

Change: a session that waits for any turn is paused; a connection that begins with more than one read has its startup message run and then takes turns with the backlogged ones; messages count 512 bytes and their strings, buffers by their size; where connections or memory are used up, the session that has been paused longest is ended first, what it sent and was not run is refused (53300).

--- a/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
+++ b/gateway/src/main/java/ploverdale/limits/ConnectionLimits.java
@@ -21,6 +21,8 @@
         NO_STARTUP_MESSAGE,
         /** A message has been received only in part. */
         INCOMPLETE_MESSAGE,
+        /** Its input is paused: its client has sent more than is run of one client before others have their turn. */
+        PAUSED_INPUT,
         /** Its client awaits no response. */
         IDLE
     }
@@ -88,6 +90,9 @@
     /** Connections with an incomplete message and the time at which its first part was received, oldest first. */
     private final Map<C, Long> incompleteSince = new LinkedHashMap<>();
 
+    /** Connections whose input is paused, with the time since which it has been paused, longest first. */
+    private final Map<C, Long> pausedSince = new LinkedHashMap<>();
+
     /** Idle connections with the time since which they have been idle, longest first. */
     private final Map<C, Long> idleSince = new LinkedHashMap<>();
 
@@ -175,10 +180,21 @@
         incompleteSince.remove(client);
     }
 
+    /** Marks a client connection as paused; its paused time starts at the first such call. */
+    public void markPaused(C client, long nowMs) {
+        pausedSince.putIfAbsent(client, nowMs);
+    }
+
+    /** Marks a client connection as not paused. */
+    public void clearPaused(C client) {
+        pausedSince.remove(client);
+    }
+
     /** Called when a client connection is being closed; its descriptor counts until {@link #onDescriptorReleased}. */
     public void onClientClosing(C client) {
         preStartupSince.remove(client);
         incompleteSince.remove(client);
+        pausedSince.remove(client);
         idleSince.remove(client);
         clientConnections--;
         closingConnections++;
@@ -216,8 +232,11 @@
 
     /** Returns the client connection to evict in favor of a new one, or null: then the new one must be refused. */
     public Eviction<C> evictionForClient(long nowMs) {
-        Eviction<C> preStartup = oldest(preStartupSince, nowMs, MIN_EVICTION_AGE_MS, EvictionReason.NO_STARTUP_MESSAGE);
-        return preStartup != null ? preStartup : oldest(idleSince, nowMs, MIN_EVICTION_AGE_MS, EvictionReason.IDLE);
+        Eviction<C> eviction = oldest(preStartupSince, nowMs, MIN_EVICTION_AGE_MS, EvictionReason.NO_STARTUP_MESSAGE);
+        eviction = eviction != null ? eviction : oldest(idleSince, nowMs, MIN_EVICTION_AGE_MS, EvictionReason.IDLE);
+        return eviction != null
+                ? eviction
+                : oldest(pausedSince, nowMs, MIN_EVICTION_AGE_MS, EvictionReason.PAUSED_INPUT);
     }
 
     /**
@@ -272,6 +291,7 @@
         Long since = switch (eviction.reason()) {
             case NO_STARTUP_MESSAGE -> preStartupSince.get(eviction.client());
             case INCOMPLETE_MESSAGE -> incompleteSince.get(eviction.client());
+            case PAUSED_INPUT -> pausedSince.get(eviction.client());
             case IDLE -> idleSince.get(eviction.client());
         };
         return since == null ? OptionalLong.empty() : OptionalLong.of(since);
@@ -279,9 +299,16 @@
 
     /** Returns the client connection whose message has been incomplete longest, or null if there is none. */
     public C longestIncomplete() {
-        return incompleteSince.isEmpty()
-                ? null
-                : incompleteSince.keySet().iterator().next();
+        return first(incompleteSince);
+    }
+
+    /** Returns the client connection whose input has been paused longest, or null if there is none. */
+    public C longestPaused() {
+        return first(pausedSince);
+    }
+
+    private static <C> C first(Map<C, Long> sinceMs) {
+        return sinceMs.isEmpty() ? null : sinceMs.keySet().iterator().next();
     }
 
     /** Returns whether the client connection has an incomplete message. */
--- a/gateway/src/main/java/ploverdale/limits/FairQueue.java
+++ b/gateway/src/main/java/ploverdale/limits/FairQueue.java
@@ -51,6 +51,11 @@
         backlogged.remove(client);
     }
 
+    /** Returns whether the client is in the queue. */
+    public boolean contains(C client) {
+        return ready.contains(client) || backlogged.contains(client);
+    }
+
     /** Returns whether the client waits with input left from an earlier quantum. */
     public boolean isBacklogged(C client) {
         return backlogged.contains(client);
--- a/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
+++ b/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
@@ -59,7 +59,7 @@
 
     /** Returns the number of bytes that this request takes from the memory budget. */
     int bytes() {
-        return query.text().length;
+        return QueuedInput.DECODED_BYTES + query.retainedTextBytes();
     }
 
     /** Returns whether the time limit for the router's answer has passed. */
--- a/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientRuntime.java
@@ -50,8 +50,8 @@
         this.lingeringClose = new LingeringClose(vertx, log, limits, status, clock.clock());
         this.inFlight = new InFlightRequests(log, eventLoop, memory, clock.clock());
         this.acceptor = new RequestAcceptor(eventLoop, settings, limits, clock, inFlight);
-        this.evictor = new SessionEvictor(log, limits, clock, status, memory);
         this.inputScheduler = new InputScheduler(log, clock.clock(), eventLoop);
+        this.evictor = new SessionEvictor(log, limits, clock, status, memory, inputScheduler);
     }
 
     private static long readTimeoutMs(GatewaySettings settings) {
--- a/gateway/src/main/java/ploverdale/net/client/ClientSession.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientSession.java
@@ -75,6 +75,11 @@
         return inputLeft && !isClosed();
     }
 
+    /** Returns whether no input has been run yet, and the first read did not bring all that the client has sent. */
+    boolean beginsWithMuchInput() {
+        return !input.isStarted() && socketInput.mayHaveUnreadInput();
+    }
+
     /** Returns whether the next command may run: fewer than the allowed number are unanswered, and the client reads. */
     boolean acceptsCommand() {
         return !pipeline.isFull() && !writer.isBlocked();
@@ -235,6 +240,18 @@
         input.abort(sqlState, message);
     }
 
+    /**
+     * Rejects all requests that have been received but not run, and closes the connection; requests that run are
+     * answered first.
+     */
+    void shedInput(String sqlState, String message) {
+        runtime.limits().clearPaused(this);
+        if (!isClosed()) {
+            input.rejectQueued();
+            abortInput(sqlState, message);
+        }
+    }
+
     /**
      * Closes the connection if its client waits for no response; returns false if it stays open. Reads the socket once
      * more and shuts the output down right after that read: a request that arrived in between would be lost.
--- a/gateway/src/main/java/ploverdale/net/client/InputQueue.java
+++ b/gateway/src/main/java/ploverdale/net/client/InputQueue.java
@@ -21,7 +21,8 @@
 
     private final Deque<QueuedInput> inputs = new ArrayDeque<>();
     private final MemoryBudget memory;
-    private int bytes;
+    private int bytes; // as sent
+    private int retainedBytes; // as held in memory
 
     InputQueue(MemoryBudget memory) {
         this.memory = memory;
@@ -31,7 +32,8 @@
     void add(QueuedInput input) {
         inputs.add(input);
         bytes += input.bytes();
-        memory.reserve(input.bytes());
+        retainedBytes += input.retainedBytes();
+        memory.reserve(input.retainedBytes());
     }
 
     /** Removes and returns the oldest input; null if the queue is empty. */
@@ -39,7 +41,8 @@
         QueuedInput input = inputs.poll();
         if (input != null) {
             bytes -= input.bytes();
-            memory.release(input.bytes());
+            retainedBytes -= input.retainedBytes();
+            memory.release(input.retainedBytes());
         }
         return input;
     }
@@ -68,7 +71,8 @@
     /** Discards all queued inputs. */
     void clear() {
         inputs.clear();
-        memory.release(bytes);
+        memory.release(retainedBytes);
         bytes = 0;
+        retainedBytes = 0;
     }
 }
--- a/gateway/src/main/java/ploverdale/net/client/InputScheduler.java
+++ b/gateway/src/main/java/ploverdale/net/client/InputScheduler.java
@@ -38,9 +38,15 @@
         this.eventLoop = eventLoop;
     }
 
-    /** Runs input that has just been read, immediately if no more than a fair share of the loop has been used for that. */
+    /**
+     * Runs input that has just been read, immediately if no more than a fair share of the loop has been used for that.
+     * A connection that begins with much input has its turn after all clients that wait for their answers, however often
+     * its client connects again.
+     */
     void onInputRead(ClientSession session) {
-        if (!isBacklogged(session) && mayRunImmediately()) {
+        if (session.beginsWithMuchInput()) {
+            runFor(0, session); // the startup message only
+        } else if (!queue.isBacklogged(session) && mayRunImmediately()) {
             immediateNanos += runQuantum(session);
         } else {
             runLater(session);
@@ -56,6 +62,11 @@
         return immediateNanos < TURN_NANOS;
     }
 
+    /** Runs a quantum of the session's input immediately, and the rest in later turns of the loop. */
+    void runNow(ClientSession session) {
+        runQuantum(session);
+    }
+
     /** Runs the input of a session in a later turn of the loop. */
     void runLater(ClientSession session) {
         queue.add(session);
@@ -67,9 +78,9 @@
         queue.remove(session);
     }
 
-    /** Returns whether the session has used up a quantum and has input left. */
-    boolean isBacklogged(ClientSession session) {
-        return queue.isBacklogged(session);
+    /** Returns whether the session has input that is run in a later turn of the loop. */
+    boolean isWaiting(ClientSession session) {
+        return queue.contains(session);
     }
 
     private void scheduleTurn() {
@@ -94,8 +105,12 @@
 
     /** Runs input of the session; returns how long that took. */
     private long runQuantum(ClientSession session) {
+        return runFor(QUANTUM_NANOS, session);
+    }
+
+    private long runFor(long quantumNanos, ClientSession session) {
         long beganAt = clock.nanos();
-        boolean inputLeft = session.runInput(new Quantum(clock, beganAt + QUANTUM_NANOS));
+        boolean inputLeft = session.runInput(new Quantum(clock, beganAt + quantumNanos));
         if (inputLeft) {
             queue.addBacklogged(session);
             log.rateLimited(
--- a/gateway/src/main/java/ploverdale/net/client/MessageDecoder.java
+++ b/gateway/src/main/java/ploverdale/net/client/MessageDecoder.java
@@ -15,6 +15,9 @@
     /** Number of undecoded bytes from which the input of a client that has to wait for its turn is paused. */
     private static final int MAX_BACKLOG_BYTES = 64 * 1024;
 
+    /** The same while all clients' input together is scarce; a single request of usual size stays below it. */
+    private static final int MAX_SCARCE_BACKLOG_BYTES = 8 * 1024;
+
     private final ClientMessageReader reader = new ClientMessageReader();
     private final MemoryBudget memory;
     private int countedBytes;
@@ -46,7 +49,7 @@
 
     /** Returns whether so many bytes are undecoded that no more may be read while the client waits for its turn. */
     boolean isBacklogFull() {
-        return memory.isInputScarce() || reader.bufferedBytes() >= MAX_BACKLOG_BYTES;
+        return reader.bufferedBytes() >= (memory.isInputScarce() ? MAX_SCARCE_BACKLOG_BYTES : MAX_BACKLOG_BYTES);
     }
 
     /** Returns the number of bytes that the memory budget counts for this decoder. */
@@ -54,10 +57,10 @@
         return countedBytes;
     }
 
-    /** Updates the memory budget to the number of bytes that have not been decoded yet. */
+    /** Updates the memory budget to the size of the buffer that holds the bytes that have not been decoded yet. */
     void countBytes() {
-        memory.reserve(reader.bufferedBytes() - countedBytes);
-        countedBytes = reader.bufferedBytes();
+        memory.reserve(reader.bufferCapacity() - countedBytes);
+        countedBytes = reader.bufferCapacity();
     }
 
     /** Removes this decoder's bytes from the memory budget until {@link #countBytes} is called again. */
@@ -81,18 +84,15 @@
      * @return false if the boundaries of later messages cannot be determined
      */
     boolean countRequestsAfterEnd() {
-        ClientMessage message = reader.next();
-        while (message != null) {
-            if (message.closesConnection()) {
-                if (!reader.skipMessage()) {
-                    return false;
-                }
-            } else if (message.expectsQueryResponse()) {
-                requestsAfterEnd = Math.min(MAX_REQUESTS_AFTER_END, requestsAfterEnd + 1);
+        boolean skipped = true;
+        while (skipped) {
+            requestsAfterEnd = Math.min(MAX_REQUESTS_AFTER_END, requestsAfterEnd + reader.skipQueries());
+            if (reader.next() == null) { // the messages before it were skipped, so it is incomplete or invalid
+                return true;
             }
-            message = reader.next();
+            skipped = reader.skipMessage();
         }
-        return true;
+        return false;
     }
 
     /** Returns the number of requests received after the end of the input, up to a maximum. */
--- a/gateway/src/main/java/ploverdale/net/client/SessionEvictor.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionEvictor.java
@@ -8,12 +8,19 @@
 
 /**
  * Closes sessions that the connection limits select: those that have sent no startup message or have had an incomplete
- * message for too long, and idle ones when there are many connections. Used on the event loop only.
+ * message for too long, and, when there are many connections, idle ones and those that send faster than their share.
+ * Used on the event loop only.
  */
 final class SessionEvictor {
     /** Time limit for the startup message while a graceful shutdown closes idle connections. */
     private static final long SHUTDOWN_STARTUP_TIMEOUT_MS = 20;
 
+    /** How many sessions with much input are evicted for memory at a time: each has to have its input counted. */
+    private static final int MAX_PAUSED_EVICTIONS = 4;
+
+    /** Time between two such evictions for new clients, so that clients that connect often do not use up the loop. */
+    private static final long PAUSED_EVICTION_INTERVAL_MS = 10;
+
     private static final String SHUTTING_DOWN = "this gateway ends, trying again does no harm";
 
     private final Log log;
@@ -21,18 +28,22 @@
     private final ServerClock clock;
     private final ServiceStatus status;
     private final MemoryBudget memory;
+    private final InputScheduler inputScheduler;
+    private long lastPausedEvictionMs = Long.MIN_VALUE / 2;
 
     SessionEvictor(
             Log log,
             ConnectionLimits<ClientSession> limits,
             ServerClock clock,
             ServiceStatus status,
-            MemoryBudget memory) {
+            MemoryBudget memory,
+            InputScheduler inputScheduler) {
         this.log = log;
         this.limits = limits;
         this.clock = clock;
         this.status = status;
         this.memory = memory;
+        this.inputScheduler = inputScheduler;
     }
 
     private long nowMs() {
@@ -59,23 +70,42 @@
         }
     }
 
-    /** Evicts sessions until there is capacity for a new client, or no session may be evicted. */
+    /**
+     * Evicts sessions until there is capacity for a new client, or no session may be evicted; of those with much input
+     * no more than one, which closes at once unless a request of its client is in flight.
+     */
     void evictForNewClient() {
         while (!limits.hasCapacityForClient()) {
             Eviction<ClientSession> eviction = limits.evictionForClient(nowMs());
             if (eviction == null) {
                 return;
             }
+            if (eviction.reason() == ConnectionLimits.EvictionReason.PAUSED_INPUT) {
+                evictPausedForNewClient(eviction);
+                return;
+            }
             evict(eviction);
         }
     }
 
+    private void evictPausedForNewClient(Eviction<ClientSession> eviction) {
+        if (nowMs() - lastPausedEvictionMs >= PAUSED_EVICTION_INTERVAL_MS) {
+            lastPausedEvictionMs = nowMs();
+            evict(eviction);
+            inputScheduler.runNow(eviction.client());
+        }
+    }
+
     /**
      * Evicts a session, unless its client has sent something in the meantime. Reads what the operating system has
      * buffered for it first: after a process pause, a timer fires before the requests that arrived during the pause
      * have been read.
      */
     void evict(Eviction<ClientSession> eviction) {
+        if (eviction.reason() == ConnectionLimits.EvictionReason.PAUSED_INPUT) {
+            evictPaused(eviction.client(), describe(eviction));
+            return;
+        }
         OptionalLong since = limits.reasonSince(eviction);
         eviction.client().readNow();
         if (since.isEmpty() || !since.equals(limits.reasonSince(eviction))) {
@@ -104,6 +134,12 @@
         eviction.client().abortInput(sqlState(eviction), reason);
     }
 
+    /** Evicts a session of which more was read than could be run; its client has more to send, or has left. */
+    private void evictPaused(ClientSession session, String description) {
+        log.rateLimited("client with much input", "closed " + description); // log line: on-call guide
+        session.shedInput(SqlStates.TOO_MANY_CONNECTIONS, "too much is sent here, trying again does no harm");
+    }
+
     /**
      * Returns the SQLSTATE for an eviction. An eviction in the gateway's own interest gets a code after which a retry
      * is safe, since the client may have sent a request in the meantime.
@@ -120,12 +156,16 @@
     }
 
     /**
-     * Evicts the sessions whose messages have been incomplete longest until the memory budget suffices; their earlier
-     * requests are answered first. Input of all other sessions is not paused, since a client would otherwise get its
+     * Evicts sessions until the memory budget suffices: first those whose input has been paused longest, since they
+     * have sent more than their share, then those whose messages have been incomplete longest. Requests of theirs that
+     * run are answered first. Input of all other sessions is not paused, since a client would otherwise get its
      * response too late because of what other clients have queued.
      */
     void evictForMemory() {
-        while (memory.isExhausted() && limits.longestIncomplete() != null) {
+        for (int i = 0; i < MAX_PAUSED_EVICTIONS && memory.isExhausted() && limits.longestPaused() != null; i++) {
+            evictPaused(limits.longestPaused(), "with " + memory.usedBytes() + " bytes held in all");
+        }
+        while (memory.isExhausted() && limits.longestPaused() == null && limits.longestIncomplete() != null) {
             ClientSession session = limits.longestIncomplete();
             log.rateLimited(
                     "too much unfinished",
--- a/gateway/src/main/java/ploverdale/net/client/SessionInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionInput.java
@@ -41,7 +41,7 @@
         }
         runtime.inputScheduler().onInputRead(session);
         decoder.countBytes();
-        pauseWhileFull(runtime.inputScheduler().isBacklogged(session));
+        pauseWhileFull(runtime.inputScheduler().isWaiting(session));
     }
 
     /**
@@ -164,7 +164,13 @@
     /** Pauses the input while too much of it is queued, or undecoded although the session has to wait for its turn. */
     private void pauseWhileFull(boolean waitsForTurn) {
         if (!isClosed() && !runtime.status().isReadingStopped()) {
-            socket.setPaused(queue.isFull() || waitsForTurn && decoder.isBacklogFull(), runtime.nowMs());
+            boolean full = queue.isFull() || waitsForTurn && decoder.isBacklogFull();
+            socket.setPaused(full, runtime.nowMs());
+            if (full && state == SessionState.ACTIVE) {
+                runtime.limits().markPaused(session, runtime.nowMs());
+            } else {
+                runtime.limits().clearPaused(session);
+            }
         }
     }
 
@@ -222,13 +228,18 @@
         queue.rejectRequests(RequestRejection.CANCELED);
     }
 
+    /** Replaces all queued requests by rejections. */
+    void rejectQueued() {
+        queue.rejectRequests(RequestRejection.OVERLOADED);
+    }
+
     /** Ends the input with an error, which is answered after all earlier messages; then the connection is closed. */
     void abort(String sqlState, String message) {
-        endInput();
-        decoder.releaseMemory();
-        if (state == SessionState.INPUT_UNREADABLE) {
-            decoder.clear();
+        if (state == SessionState.ACTIVE) {
+            endInput();
         }
+        countRequestsAfterEnd();
+        decoder.countBytes();
         queue.add(new QueuedInput.Message(new ClientMessage.InvalidMessage(sqlState, message, true)));
         runtime.inputScheduler().runLater(session);
     }
--- a/gateway/src/main/java/ploverdale/net/client/SocketInput.java
+++ b/gateway/src/main/java/ploverdale/net/client/SocketInput.java
@@ -75,7 +75,8 @@
         return seenOpen && nowMs - lastReadAtMs < FRESH_READ_MS && !mayHaveUnreadInput();
     }
 
-    private boolean mayHaveUnreadInput() {
+    /** Returns whether reading is paused, or the last read may have left input unread. */
+    boolean mayHaveUnreadInput() {
         return paused || !NioSockets.lastReadWasShort(socket);
     }
 
--- a/gateway/src/main/java/ploverdale/net/postgres/ClientMessage.java
+++ b/gateway/src/main/java/ploverdale/net/postgres/ClientMessage.java
@@ -103,6 +103,13 @@
         public boolean expectsQueryResponse() {
             return true;
         }
+
+        /** Returns the number of bytes of the text and of the strings that were decoded from it. */
+        public int retainedTextBytes() {
+            int keyCharacters = key == null ? 0 : key.length();
+            int decoded = id.length() + requestClass.length() + tenant.length() + keyCharacters;
+            return text.length + decoded * Character.BYTES;
+        }
     }
 
     /**
--- a/gateway/src/test/java/ploverdale/limits/ConnectionLimitsTest.java
+++ b/gateway/src/test/java/ploverdale/limits/ConnectionLimitsTest.java
@@ -115,4 +115,30 @@
         large.setMaxDescriptors(64);
         assertThat(large.maxClients()).isEqualTo(28);
     }
+
+    /** Guards against clients that come again at once and keep all connections with input that nobody waits for. */
+    @Test
+    void aClientWhoseInputIsPausedMakesRoomForANewOneIfNoOtherCan() {
+        addAwaitingClients(limits.maxClients());
+        limits.markPaused("awaiting1", 0);
+        limits.markPaused("awaiting0", 50);
+        assertThat(limits.evictionForClient(90)).isNull();
+        assertThat(limits.evictionForClient(200).client()).isEqualTo("awaiting1");
+        assertThat(limits.evictionForClient(200).reason()).isEqualTo(ConnectionLimits.EvictionReason.PAUSED_INPUT);
+        limits.markIdle("awaiting2", 100);
+        assertThat(limits.evictionForClient(200).client()).isEqualTo("awaiting2");
+    }
+
+    @Test
+    void aConnectionIsPausedSinceTheFirstCallUntilItIsResumedOrCloses() {
+        addAwaitingClients(2);
+        limits.markPaused("awaiting0", 10);
+        limits.markPaused("awaiting1", 20);
+        limits.markPaused("awaiting0", 30);
+        assertThat(limits.longestPaused()).isEqualTo("awaiting0");
+        limits.clearPaused("awaiting0");
+        assertThat(limits.longestPaused()).isEqualTo("awaiting1");
+        limits.onClientClosing("awaiting1");
+        assertThat(limits.longestPaused()).isNull();
+    }
 }
--- a/gateway/src/test/java/ploverdale/limits/FairQueueTest.java
+++ b/gateway/src/test/java/ploverdale/limits/FairQueueTest.java
@@ -44,6 +44,19 @@
         assertThat(queue.poll()).isNull();
     }
 
+    /** Guards against reading on from a client that waits for its first turn: it may wait for long. */
+    @Test
+    void aClientIsInTheQueueUntilItsTurnWhetherItIsBackloggedOrNot() {
+        queue.add("new");
+        queue.addBacklogged("backlogged");
+        assertThat(queue.contains("new")).isTrue();
+        assertThat(queue.contains("backlogged")).isTrue();
+        queue.poll();
+        assertThat(queue.contains("new")).isFalse();
+        queue.poll();
+        assertThat(queue.contains("backlogged")).isFalse();
+    }
+
     @Test
     void aClientThatUsedUpItsQuantumIsInTheQueueOnce() {
         queue.add("a");
--- a/tools/src/main/java/ploverdale/tools/fleet/FloodScheduleGenerator.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FloodScheduleGenerator.java
@@ -61,6 +61,9 @@
             if (withProbability(0.4)) {
                 addFlood(gateway, atMs + between(0, durationMs / 2), durationMs);
             }
+            if (withProbability(0.3)) {
+                addConnectionStorm(gateway, atMs, durationMs);
+            }
             atMs += durationMs + between(100, 800);
         }
     }
@@ -74,6 +77,15 @@
         add(atMs, Action.FLOOD, gateway, form, clients, durationMs, answers, bytes);
     }
 
+    /** Clients that send more than is run at once, leave, and connect again at once. */
+    private void addConnectionStorm(String gateway, long atMs, int durationMs) {
+        FloodForm[] forms = FloodForm.values();
+        FloodForm form = forms[between(0, forms.length - 1)];
+        int clients = between(MAX_CLIENTS, 2 * MAX_CLIENTS);
+        String answers = withProbability(0.7) ? "read" : "unread";
+        add(atMs, Action.FLOOD, gateway, form, clients, durationMs, answers, between(20_000, 400_000));
+    }
+
     /** Restarts the gateway, or sends it new configurations in a row, while it is flooded. */
     private void addSignals(String gateway) {
         if (withProbability(0.3)) {
--- a/tools/src/main/java/ploverdale/tools/stand/FloodConnection.java
+++ b/tools/src/main/java/ploverdale/tools/stand/FloodConnection.java
@@ -5,7 +5,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import ploverdale.clock.Clock;
@@ -19,7 +18,6 @@
  */
 final class FloodConnection {
     private static final int CONNECT_TIMEOUT_MS = 2000;
-    private static final long RECONNECT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final int DISCARD_BYTES = 64 * 1024;
 
     private final Flood flood;
@@ -33,7 +31,6 @@
     private String idPrefix = "";
     private long nextNumber;
     private long sentBytes;
-    private long connectAtNanos = System.nanoTime();
 
     /** @param idPrefixes returns the beginning of the ids of a new connection's requests */
     FloodConnection(
@@ -53,7 +50,7 @@
     boolean advance() {
         try {
             if (channel == null) {
-                return connectIfDue();
+                return connect();
             }
             return readIfWanted() | write();
         } catch (IOException e) {
@@ -62,10 +59,8 @@
         }
     }
 
-    private boolean connectIfDue() throws IOException {
-        if (System.nanoTime() - connectAtNanos < 0) {
-            return false;
-        }
+    /** Connects; a client that has left or has been closed comes again at once. */
+    private boolean connect() throws IOException {
         idPrefix = idPrefixes.get();
         nextNumber = 0;
         sentBytes = 0;
@@ -106,7 +101,6 @@
 
     /** Closes the connection, if there is one. */
     void close() {
-        connectAtNanos = System.nanoTime() + RECONNECT_DELAY_NANOS;
         if (channel == null) {
             return;
         }
--- a/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -64,6 +64,16 @@
                 """);
     }
 
+    /** Guards against loss of time and memory to clients that send more than is run at once, leave, and connect again. */
+    @ParameterizedTest
+    @EnumSource(names = {"READS", "UNKNOWN_CLASSES", "NO_ID", "UNKNOWN_GROUPS"})
+    void otherClientsAreAnsweredInTimeWhileClientsThatHaveSentMuchLeaveAndReconnect(FloodForm form) throws Exception {
+        assertHolds("""
+                day seed=3 gateways=1 lasts=7000
+                500 flood n0 %s 10 6000 read 150000
+                """.formatted(form));
+    }
+
     @Test
     @Tag("known-red")
     void noRequestIsSentAfterItsClientLeftWhileTcpHoldsBackItsInput() throws Exception {
