Keep a session's latest commit, not that of the write acknowledged last

Cause: SessionWrites.put replaced the commit time of a session by the one that came last. A write whose answer was lost is sent again, and the answer to the repeat has the commit time of the run that was dropped: earlier than that of a write of the same session that was acknowledged meanwhile. A replica between the two commits was then taken for fresh enough. The same held after sessions had been merged into one bound: an earlier commit replaced the bound.

Change: the latest commit counts, and the bound of merged sessions holds for all of them. Another write of a known session no longer merges all sessions when the table is full.

--- a/gateway/src/main/java/ploverdale/state/SessionWrites.java
+++ b/gateway/src/main/java/ploverdale/state/SessionWrites.java
@@ -7,7 +7,7 @@
 import ploverdale.model.SessionId;
 
 /**
- * Commit times of the last write of each session. Bounded: when the capacity is reached, all sessions are merged into
+ * The latest commit time of each session's writes. Bounded: when the capacity is reached, all sessions are merged into
  * one lower bound that holds for each of them.
  */
 public final class SessionWrites {
@@ -20,16 +20,19 @@
         this.capacity = capacity;
     }
 
-    /** Records that a write of the session was committed. Ignored if the session is null. */
+    /**
+     * Records that a write of the session was committed. Ignored if the session is null. Acknowledgements may arrive in
+     * another order than that of the commits, so the latest commit is kept, whichever was recorded last.
+     */
     public void put(SessionId session, long time) {
         if (session == null) {
             return;
         }
-        if (committedAt.size() >= capacity) {
+        if (committedAt.size() >= capacity && !committedAt.containsKey(session)) {
             lowerBound = Math.max(lowerBound, Collections.max(committedAt.values()));
             committedAt.clear();
         }
-        committedAt.put(session, time);
+        committedAt.merge(session, time, Math::max);
     }
 
     /**
@@ -45,6 +48,6 @@
      * none.
      */
     public long of(SessionId session) {
-        return committedAt.getOrDefault(session, lowerBound);
+        return Math.max(lowerBound, committedAt.getOrDefault(session, lowerBound));
     }
 }
