Date a primary's answer by its position, so that a late one does not restore its role

Cause: the role in an answer was dated by when the answer was read. An answer that a primary wrote before it lost the role, read after the answer that told of the loss (another connection, a process pause), made it the primary again: writes and reads that must see all went to it until its next report. Load reports were already dated by a primary's position.

Change: the role in a primary's answer is dated by the position in it, which is not later than the answer.

RoleTrackingTest: a write was sent to the former primary before, none is now.

--- a/gateway/src/main/java/ploverdale/routing/EventDecisions.java
+++ b/gateway/src/main/java/ploverdale/routing/EventDecisions.java
@@ -106,7 +106,7 @@
 
     private void onAttemptEnded(ServerState server, AttemptEnded end) {
         PendingRequest attempted = server.load().attemptEnded(end.request());
-        roles.learnReport(server, end.answerReport(), context.now());
+        roles.learnAnswerReport(server, end.answerReport());
         roles.learnLoadReport(server, end.loadReport());
         if (attempted != null) {
             learnFromAttempt(server, attempted, end);
--- a/gateway/src/main/java/ploverdale/routing/RoleTracker.java
+++ b/gateway/src/main/java/ploverdale/routing/RoleTracker.java
@@ -23,6 +23,19 @@
         this.gossip = gossip;
     }
 
+    /**
+     * Learns from the report in an answer. Answers may be read in another order than that in which servers wrote them. The
+     * position in a primary's answer is not later than that, so that an answer which was written before the server lost the
+     * role does not restore it.
+     *
+     * @param report the report, or null if there is none
+     */
+    void learnAnswerReport(ServerState server, LoadReport report) {
+        if (report != null) {
+            learnReport(server, report, Math.min(context.now(), reportedAt(report, context.now())));
+        }
+    }
+
     /**
      * Learns from a load report, which may be outdated when it arrives. The position in a primary's report shows when
      * the report was made, so that an outdated report does not restore a role that the server has lost since.
@@ -30,22 +43,20 @@
      * @param report the report, or null if there is none
      */
     void learnLoadReport(ServerState server, LoadReport report) {
-        if (report == null) {
-            return;
+        if (report != null) {
+            learnReport(server, report, reportedAt(report, context.now() - MAX_REPORT_AGE));
         }
+    }
+
+    private static long reportedAt(LoadReport report, long ifUnknown) {
         boolean isDated = report.role() == Role.PRIMARY && report.position() != LoadReport.UNKNOWN_TIME;
-        learnReport(server, report, isDated ? report.position() : context.now() - MAX_REPORT_AGE);
+        return isDated ? report.position() : ifUnknown;
     }
 
     /**
      * Learns from a report that was made at this time. The latest report of a role wins; a position never decreases.
-     *
-     * @param report the report, or null if there is none
      */
-    void learnReport(ServerState server, LoadReport report, long reportedAt) {
-        if (report == null) {
-            return;
-        }
+    private void learnReport(ServerState server, LoadReport report, long reportedAt) {
         server.load().recordUtilization(report.utilization());
         if (report.position() != LoadReport.UNKNOWN_TIME) {
             server.replication().recordPosition(report.position(), context.now());
--- a/gateway/src/test/java/ploverdale/routing/RoleTrackingTest.java
+++ b/gateway/src/test/java/ploverdale/routing/RoleTrackingTest.java
@@ -46,4 +46,17 @@
         driver.healthCheckSucceeded("p", Role.PRIMARY, driver.nowMs - 200);
         assertThat(driver.attempts(driver.request(TestRouterSettings.WRITE))).isEmpty();
     }
+
+    /** Guards against a former primary that is restored by an answer which it wrote before it lost the role. */
+    @Test
+    void anAnswerThatIsReadLateDoesNotRestoreAFormerPrimary() {
+        RequestId delayed = driver.request(TestRouterSettings.FRESH_READ);
+        RequestId read = driver.request(TestRouterSettings.FRESH_READ);
+        long writtenAtMs = driver.nowMs;
+        driver.nowMs += 200;
+        driver.attemptEnded(read, 0, "p", Outcome.SUCCEEDED, RouterDriver.report(Role.REPLICA, driver.nowMs));
+        driver.nowMs += 10;
+        driver.attemptEnded(delayed, 0, "p", Outcome.SUCCEEDED, RouterDriver.report(Role.PRIMARY, writtenAtMs));
+        assertThat(driver.attempts(driver.request(TestRouterSettings.WRITE))).isEmpty();
+    }
 }
