Keep a hash of a session's id, whatever the length of the id

Cause: SessionWrites kept the key of each served write as the session's name, up to 50,000 of them. The number is bounded, their length is the client's to choose: up to 64 KiB each, some forty times the heap, and in no budget.

Change: a session is found by a 128-bit hash of its id. Two sessions with the same hash would share the later commit, which only makes their reads stricter.

SessionWritesTest: the id was still held after 500 collections before, and is not now.

--- a/gateway/src/main/java/ploverdale/state/SessionWrites.java
+++ b/gateway/src/main/java/ploverdale/state/SessionWrites.java
@@ -1,18 +1,22 @@
 package ploverdale.state;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.UUID;
 import ploverdale.model.LoadReport;
 import ploverdale.model.SessionId;
 
 /**
  * The latest commit time of each session's writes. Bounded: when the capacity is reached, all sessions are merged into
- * one lower bound that holds for each of them.
+ * one lower bound that holds for each of them. Of a session's id, which a client chooses and may make long, only a hash is
+ * kept; two sessions with the same hash would only make each other's reads wait for the later commit.
  */
 public final class SessionWrites {
     private final int capacity;
-    private final Map<SessionId, Long> committedAt = new HashMap<>();
+    private final Map<UUID, Long> committedAt = new HashMap<>(); // by a hash of the session's id
     private long lowerBound = LoadReport.UNKNOWN_TIME;
 
     /** @param capacity how many sessions are tracked individually */
@@ -28,11 +32,12 @@
         if (session == null) {
             return;
         }
-        if (committedAt.size() >= capacity && !committedAt.containsKey(session)) {
+        UUID hash = hash(session);
+        if (committedAt.size() >= capacity && !committedAt.containsKey(hash)) {
             lowerBound = Math.max(lowerBound, Collections.max(committedAt.values()));
             committedAt.clear();
         }
-        committedAt.merge(session, time, Math::max);
+        committedAt.merge(hash, time, Math::max);
     }
 
     /**
@@ -46,8 +51,14 @@
     /**
      * Returns the commit time that a read of this session must include; {@link LoadReport#UNKNOWN_TIME} if there is
      * none.
+     *
+     * @param session the session, or null for none
      */
     public long of(SessionId session) {
-        return Math.max(lowerBound, committedAt.getOrDefault(session, lowerBound));
+        return session == null ? lowerBound : Math.max(lowerBound, committedAt.getOrDefault(hash(session), lowerBound));
+    }
+
+    private static UUID hash(SessionId session) {
+        return UUID.nameUUIDFromBytes(session.value().getBytes(UTF_8));
     }
 }
--- a/gateway/src/test/java/ploverdale/state/SessionWritesTest.java
+++ b/gateway/src/test/java/ploverdale/state/SessionWritesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.ref.WeakReference;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,8 @@
 
 /** The commit that a session's reads must include. */
 class SessionWritesTest {
+    private static final int LONG_ID = 60_000;
+    private static final int MAX_COLLECTIONS = 500;
     private static final SessionId SESSION = new SessionId("till 1");
 
     private final SessionWrites writes = new SessionWrites(2);
@@ -47,6 +50,27 @@
         assertThat(writes.of(new SessionId("till 3"))).isEqualTo(LoadReport.UNKNOWN_TIME);
     }
 
+    /** Guards against memory that clients use up with long keys: only the number of sessions is bounded. */
+    @Test
+    void theIdOfASessionIsNotKept() throws InterruptedException {
+        WeakReference<String> id = new WeakReference<>("k".repeat(LONG_ID));
+        writes.put(new SessionId(id.get()), 1000);
+        for (int i = 0; i < MAX_COLLECTIONS && id.get() != null; i++) {
+            System.gc();
+            Thread.sleep(10);
+        }
+        assertThat(id.get()).isNull();
+        assertThat(writes.of(new SessionId("k".repeat(LONG_ID)))).isEqualTo(1000);
+    }
+
+    @Test
+    void aReadWithoutASessionNeedsOnlyTheBoundOfMergedSessions() {
+        writes.put(SESSION, 1000);
+        assertThat(writes.of(null)).isEqualTo(LoadReport.UNKNOWN_TIME);
+        writes.foldAllInto(3000);
+        assertThat(writes.of(null)).isEqualTo(3000);
+    }
+
     @Property
     void noSessionIsEverBehindItsLatestCommit(
             @ForAll @Size(max = 40) List<@LongRange(min = 1, max = 1000) Long> commits,
