--- a/gateway/src/test/java/ploverdale/LongKeysMemoryTest.java
+++ b/gateway/src/test/java/ploverdale/LongKeysMemoryTest.java
@@ -29,7 +29,7 @@
     @TempDir
     Path directory;
 
-    /** Guards against a table that is bounded in number, and whose entries clients make large. */
+    /** Regression test for a table that is bounded in number, and whose entries clients make large. */
     @Test
     void servedWritesWithLongNewKeysDoNotUseUpMemory() throws Exception {
         long seed = System.nanoTime();
--- a/gateway/src/test/java/ploverdale/ReusedIdTest.java
+++ b/gateway/src/test/java/ploverdale/ReusedIdTest.java
@@ -75,7 +75,7 @@
         }
     }
 
-    /** Guards against a write that is sent twice: an attempt for the client that left was made with the later text. */
+    /** Regression test for a write that is sent twice: an attempt for the client that left was made with the later text. */
     @Test
     void aWriteWhoseClientLeftAndWhoseIdComesAgainInOneTurnRunsAtMostOnce() throws Exception {
         System.out.println("seed " + seed);
--- a/gateway/src/test/java/ploverdale/limits/ConnectionLimitsTest.java
+++ b/gateway/src/test/java/ploverdale/limits/ConnectionLimitsTest.java
@@ -116,7 +116,7 @@
         assertThat(large.maxClients()).isEqualTo(28);
     }
 
-    /** Guards against clients that come again at once and keep all connections with input that nobody waits for. */
+    /** Regression test for clients that come again at once and keep all connections with input that nobody waits for. */
     @Test
     void aClientWhoseInputIsPausedMakesRoomForANewOneIfNoOtherCan() {
         addAwaitingClients(limits.maxClients());
--- a/gateway/src/test/java/ploverdale/limits/FairQueueTest.java
+++ b/gateway/src/test/java/ploverdale/limits/FairQueueTest.java
@@ -44,7 +44,7 @@
         assertThat(queue.poll()).isNull();
     }
 
-    /** Guards against reading on from a client that waits for its first turn: it may wait for long. */
+    /** Regression test for reading on from a client that waits for its first turn: it may wait for long. */
     @Test
     void aClientIsInTheQueueUntilItsTurnWhetherItIsBackloggedOrNot() {
         queue.add("new");
--- a/gateway/src/test/java/ploverdale/net/eventloop/AcceptPacingTest.java
+++ b/gateway/src/test/java/ploverdale/net/eventloop/AcceptPacingTest.java
@@ -24,7 +24,7 @@
     /** Connections that may be set up between two runs of a timer: those of a turn, and one turn that had begun. */
     private static final int MAX_BETWEEN_TIMERS = 2 * AcceptPacing.MAX_ACCEPTS;
 
-    /** Guards against an event loop that sets up connections for up to a second before it runs its timers. */
+    /** Regression test for an event loop that sets up connections for up to a second before it runs its timers. */
     @Test
     void timersRunBetweenConnectionsHoweverManyWaitToBeAccepted() throws Exception {
         Vertx vertx = SingleLoopVertx.create();
@@ -69,7 +69,7 @@
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
-        } catch (InterruptedException e) {
+        } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
@@ -77,7 +77,7 @@
     private static void sleep() {
         try {
             Thread.sleep(SET_UP_MS);
-        } catch (InterruptedException e) {
+        } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
--- a/gateway/src/test/java/ploverdale/routing/RoleTrackingTest.java
+++ b/gateway/src/test/java/ploverdale/routing/RoleTrackingTest.java
@@ -47,7 +47,7 @@
         assertThat(driver.attempts(driver.request(TestRouterSettings.WRITE))).isEmpty();
     }
 
-    /** Guards against a former primary that is restored by an answer which it wrote before it lost the role. */
+    /** Regression test for a former primary that is restored by an answer which it wrote before it lost the role. */
     @Test
     void anAnswerThatIsReadLateDoesNotRestoreAFormerPrimary() {
         RequestId delayed = driver.request(TestRouterSettings.FRESH_READ);
--- a/gateway/src/test/java/ploverdale/state/SessionWritesTest.java
+++ b/gateway/src/test/java/ploverdale/state/SessionWritesTest.java
@@ -23,7 +23,7 @@
 
     private final SessionWrites writes = new SessionWrites(2);
 
-    /** Guards against a session read without an acknowledged write, after a repeat brought the commit of an earlier one. */
+    /** Regression test for a session read without an acknowledged write, after a repeat brought the commit of an earlier one. */
     @Test
     void theLatestCommitCountsAlsoIfAnEarlierOneIsAcknowledgedLater() {
         writes.put(SESSION, 2000);
@@ -31,7 +31,7 @@
         assertThat(writes.of(SESSION)).isEqualTo(2000);
     }
 
-    /** Guards against the same loss where the sessions had been merged before the late acknowledgement. */
+    /** Regression test for the same loss where the sessions had been merged before the late acknowledgement. */
     @Test
     void anEarlierCommitDoesNotUndoTheBoundOfMergedSessions() {
         writes.foldAllInto(3000);
@@ -50,7 +50,7 @@
         assertThat(writes.of(new SessionId("till 3"))).isEqualTo(LoadReport.UNKNOWN_TIME);
     }
 
-    /** Guards against memory that clients use up with long keys: only the number of sessions is bounded. */
+    /** Regression test for memory that clients use up with long keys: only the number of sessions is bounded. */
     @Test
     void theIdOfASessionIsNotKept() throws InterruptedException {
         WeakReference<String> id = new WeakReference<>("k".repeat(LONG_ID));
--- a/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -64,7 +64,7 @@
                 """);
     }
 
-    /** Guards against loss of time and memory to clients that send more than is run at once, leave, and connect again. */
+    /** Regression test for loss of time and memory to clients that send more than is run at once, leave, and connect again. */
     @ParameterizedTest
     @EnumSource(names = {"READS", "UNKNOWN_CLASSES", "NO_ID", "UNKNOWN_GROUPS"})
     void otherClientsAreAnsweredInTimeWhileClientsThatHaveSentMuchLeaveAndReconnect(FloodForm form) throws Exception {
