Do not take the commit time in the answer to a repeat for the primary's present time

Cause: LoadReportReader.roleAndPosition told the clock that the position in any answer of a primary is its time when it answered. A group that drops a repeat answers with the commit time of the run that counted, which may be seconds old, so the upper bound of the offset was too low and contradicted the true one.

Change: an attempt knows whether its request may have run before (a retry, or a request that its client resubmits); its answer then gives a lower bound only.

--- a/gateway/src/main/java/ploverdale/net/GatewayActions.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayActions.java
@@ -82,6 +82,7 @@
                 timeLeft,
                 () -> mayBeWritten(attempt, accepted, clockChanges),
                 waitMs -> MessageWriter.request(accepted.query(), waitMs),
+                attemptNumber > 0 || accepted.query().resubmitted(),
                 result -> onAttemptEnded(request, attemptNumber, attempt.server(), result));
     }
 
--- a/gateway/src/main/java/ploverdale/net/server/Attempt.java
+++ b/gateway/src/main/java/ploverdale/net/server/Attempt.java
@@ -36,8 +36,9 @@
      * What an attempt writes once a connection is ready, and who receives its result. No component is null.
      *
      * @param mayWrite evaluated right before the bytes are written; if it returns false, the attempt ends as never sent
+     * @param mayBeRepeat whether the request may have run before
      */
-    record Work(BooleanSupplier mayWrite, RequestEncoder encoder, AttemptListener listener) {}
+    record Work(BooleanSupplier mayWrite, RequestEncoder encoder, boolean mayBeRepeat, AttemptListener listener) {}
 
     /**
      * Creates an attempt whose time limit counts from now on.
@@ -77,6 +78,11 @@
         return request == null;
     }
 
+    /** Returns whether the request may have run before, so that the server may answer with the result of that run. */
+    boolean mayBeRepeat() {
+        return work.mayBeRepeat();
+    }
+
     /** Returns the server that the attempt is sent to; never null. */
     PooledServer server() {
         return server;
--- a/gateway/src/main/java/ploverdale/net/server/LoadReportReader.java
+++ b/gateway/src/main/java/ploverdale/net/server/LoadReportReader.java
@@ -46,14 +46,15 @@
      * Returns the role and position that an answer's parameters contain, or null if they contain neither.
      *
      * @param writtenAt service time at which the request was written
+     * @param mayBeRepeat whether the request may have run before: then the position may be the commit time of that run
      */
-    LoadReport roleAndPosition(ServerId server, Map<String, String> parameters, long writtenAt) {
+    LoadReport roleAndPosition(ServerId server, Map<String, String> parameters, long writtenAt, boolean mayBeRepeat) {
         Role role = role(parameters.get(ROLE_PARAMETER));
         double positionMs = number(parameters.get(POSITION_PARAMETER));
         long position = LoadReport.UNKNOWN_TIME;
         if (!Double.isNaN(positionMs)) {
             long wallPosition = (long) Math.floor(positionMs) * TICKS_PER_MS;
-            clock.observePosition(server, wallPosition, writtenAt, role == Role.PRIMARY);
+            clock.observePosition(server, wallPosition, writtenAt, role == Role.PRIMARY && !mayBeRepeat);
             position =
                     clock.isAhead(wallPosition) ? LoadReport.UNKNOWN_TIME : clock.positionToServiceTime(wallPosition);
         }
--- a/gateway/src/main/java/ploverdale/net/server/ServerConnection.java
+++ b/gateway/src/main/java/ploverdale/net/server/ServerConnection.java
@@ -261,7 +261,8 @@
             pool.idleConnections().onReuseFailed(server, answered.idleTimeBeforeMove());
         }
         ServerId id = server.id();
-        LoadReport answerReport = loadReports.roleAndPosition(id, response.parameters(), writtenAt);
+        LoadReport answerReport =
+                loadReports.roleAndPosition(id, response.parameters(), writtenAt, answered.mayBeRepeat());
         LoadReport loadReport = loadReports.reportInAnswer(id, response.parameters(), writtenAt);
         if (response.hasError()) {
             Outcome outcome = response.errorOutcome(answered.isHealthCheck());
--- a/gateway/src/main/java/ploverdale/net/server/ServerConnectionPool.java
+++ b/gateway/src/main/java/ploverdale/net/server/ServerConnectionPool.java
@@ -89,6 +89,8 @@
      *
      * @param timeLimit the time limit, in tenths of a millisecond from now
      * @param mayWrite evaluated right before the bytes are written; if it returns false, the attempt ends as never sent
+     * @param mayBeRepeat whether the request may have run before, so that the server may answer with the result of that
+     *     run
      */
     public void startAttempt(
             RequestId request,
@@ -96,8 +98,9 @@
             long timeLimit,
             BooleanSupplier mayWrite,
             RequestEncoder encoder,
+            boolean mayBeRepeat,
             AttemptListener listener) {
-        Attempt.Work work = new Attempt.Work(mayWrite, encoder, listener);
+        Attempt.Work work = new Attempt.Work(mayWrite, encoder, mayBeRepeat, listener);
         Attempt attempt = new Attempt(context, this, request, server(id), timeLimit, work);
         attempt.startDeadline();
         attempts.put(request, attempt);
@@ -123,7 +126,7 @@
     public void startHealthCheck(ServerId id, BooleanSupplier mayWrite, AttemptListener listener) {
         GatewaySettings settings = context.settings();
         RequestEncoder encoder = timeoutMs -> MessageWriter.healthCheck(settings.reportsInHealthChecks());
-        Attempt.Work work = new Attempt.Work(mayWrite, encoder, listener);
+        Attempt.Work work = new Attempt.Work(mayWrite, encoder, false, listener);
         Attempt healthCheck = new Attempt(context, this, null, server(id), settings.connectLimit(), work);
         healthCheck.startDeadline();
         assign(healthCheck);
--- a/gateway/src/test/java/ploverdale/net/server/ServerConnectionPoolTest.java
+++ b/gateway/src/test/java/ploverdale/net/server/ServerConnectionPoolTest.java
@@ -117,7 +117,13 @@
 
     private void startAttempt(long timeLimit, boolean mayWrite) throws Exception {
         onEventLoop(() -> pool.startAttempt(
-                REQUEST, SERVER, timeLimit, () -> mayWrite, timeoutMs -> MessageWriter.query("SELECT 1"), result -> {
+                REQUEST,
+                SERVER,
+                timeLimit,
+                () -> mayWrite,
+                timeoutMs -> MessageWriter.query("SELECT 1"),
+                false,
+                result -> {
                     outcomes.add(result.outcome());
                     firstOutcome.complete(result.outcome());
                 }));
@@ -157,6 +163,7 @@
                 LONG_TIMEOUT_TICKS,
                 () -> true,
                 timeoutMs -> MessageWriter.query("SELECT 1"),
+                false,
                 result -> value.complete(new WeakReference<>(result.row().value()))));
         WeakReference<byte[]> answer = value.get(TIMEOUT_S, TimeUnit.SECONDS);
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S);
