--- a/tools/src/main/java/ploverdale/tools/fleet/FloodScheduleGenerator.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FloodScheduleGenerator.java
@@ -22,11 +22,18 @@
     /** The longest request deadline, 1.5 s, plus 0.7 s. */
     private static final long KILL_AFTER_TERM_MS = 2200;
 
+    private static final double READ_PROBABILITY = 0.7;
+    private static final double STORM_PROBABILITY = 0.3;
+    private static final int MIN_STORM_BYTES = 20_000;
+    private static final int MAX_STORM_BYTES = 400_000;
+
     private final RandomGenerator random;
+    private final RandomGenerator stormRandom; // of its own, so that a seed's other steps stay the same
     private final List<Step> steps = new ArrayList<>();
 
     private FloodScheduleGenerator(long seed) {
         random = new SplittableRandom(seed);
+        stormRandom = new SplittableRandom(~seed);
     }
 
     /** Returns the schedule of the given seed. */
@@ -61,7 +68,7 @@
             if (withProbability(0.4)) {
                 addFlood(gateway, atMs + between(0, durationMs / 2), durationMs);
             }
-            if (withProbability(0.3)) {
+            if (stormRandom.nextDouble() < STORM_PROBABILITY) {
                 addConnectionStorm(gateway, atMs, durationMs);
             }
             atMs += durationMs + between(100, 800);
@@ -72,7 +79,7 @@
         FloodForm[] forms = FloodForm.values();
         FloodForm form = forms[between(0, forms.length - 1)];
         int clients = withProbability(0.1) ? MANY_CLIENTS : between(1, MAX_CLIENTS);
-        String answers = withProbability(0.7) ? "read" : "unread";
+        String answers = withProbability(READ_PROBABILITY) ? "read" : "unread";
         long bytes = withProbability(0.5) ? UNLIMITED_BYTES : between(10_000, 4_000_000);
         add(atMs, Action.FLOOD, gateway, form, clients, durationMs, answers, bytes);
     }
@@ -80,10 +87,11 @@
     /** Clients that send more than is run at once, leave, and connect again at once. */
     private void addConnectionStorm(String gateway, long atMs, int durationMs) {
         FloodForm[] forms = FloodForm.values();
-        FloodForm form = forms[between(0, forms.length - 1)];
-        int clients = between(MAX_CLIENTS, 2 * MAX_CLIENTS);
-        String answers = withProbability(0.7) ? "read" : "unread";
-        add(atMs, Action.FLOOD, gateway, form, clients, durationMs, answers, between(20_000, 400_000));
+        FloodForm form = forms[stormRandom.nextInt(forms.length)];
+        int clients = stormRandom.nextInt(MAX_CLIENTS, 2 * MAX_CLIENTS);
+        String answers = stormRandom.nextDouble() < READ_PROBABILITY ? "read" : "unread";
+        int bytes = stormRandom.nextInt(MIN_STORM_BYTES, MAX_STORM_BYTES);
+        add(atMs, Action.FLOOD, gateway, form, clients, durationMs, answers, bytes);
     }
 
     /** Restarts the gateway, or sends it new configurations in a row, while it is flooded. */
