Refuse the id of a write that was answered and must not run again

Only ids of clients that had left before the answer were remembered.

AbandonedRequests is now ExecutedRequests.

--- a/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
+++ b/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
@@ -10,6 +10,7 @@
     private final ClientMessage.RequestQuery query;
     private final ClientSession session;
     private final PendingResponse response;
+    private final boolean idempotent;
     private final long overdueAtMs;
     private int attempts;
 
@@ -17,14 +18,20 @@
      * Creates a request without attempts.
      *
      * @param response slot reserved for this request in the session's response pipeline
+     * @param idempotent whether the request may run more than once
      * @param overdueAtMs monotonic time in milliseconds after which the request is failed if still unanswered
      */
     AcceptedRequest(
-            ClientMessage.RequestQuery query, ClientSession session, PendingResponse response, long overdueAtMs) {
+            ClientMessage.RequestQuery query,
+            ClientSession session,
+            PendingResponse response,
+            boolean idempotent,
+            long overdueAtMs) {
         this.id = response.request();
         this.query = query;
         this.session = session;
         this.response = response;
+        this.idempotent = idempotent;
         this.overdueAtMs = overdueAtMs;
     }
 
@@ -48,6 +55,11 @@
         return attempts > 0;
     }
 
+    /** Returns whether the request may run more than once. */
+    boolean isIdempotent() {
+        return idempotent;
+    }
+
     RequestId id() {
         return id;
     }
--- a/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
+++ b/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
@@ -28,7 +28,7 @@
     private final RouterEventLoop eventLoop;
     private final MemoryBudget memory;
     private final Clock clock;
-    private final AbandonedRequests abandoned = new AbandonedRequests();
+    private final ExecutedRequests executed = new ExecutedRequests();
 
     InFlightRequests(Log log, RouterEventLoop eventLoop, MemoryBudget memory, Clock clock) {
         this.clock = clock;
@@ -49,9 +49,9 @@
         return requests.get(id);
     }
 
-    /** Returns whether a request with this id of a client is in flight, or may have run for a client that has left. */
+    /** Returns whether a request with this id of a client is in flight, or may have run and must not run again. */
     boolean isInUse(String id) {
-        return isInFlight(id) || abandoned.contains(id, clock.monotonicMs());
+        return isInFlight(id) || executed.contains(id, clock.monotonicMs());
     }
 
     /** Returns whether a request with this id of a client is in flight. */
@@ -71,6 +71,7 @@
 
     /** Answers the request with the row that a server returned. */
     void succeed(RequestId id, ResultRow row) {
+        rememberIfExecuted(id);
         complete(id, MessageWriter.resultRow(row));
     }
 
@@ -94,9 +95,21 @@
 
     /** Answers that the request failed and may have run. */
     void fail(RequestId id) {
+        rememberIfExecuted(id);
         complete(id, ErrorResponses.error(SqlStates.SYSTEM_ERROR, "the op failed; whether it ran is not known"));
     }
 
+    /**
+     * Remembers the id of a write that may have run and must not run again: its client may have left without the answer,
+     * and the id may come again.
+     */
+    private void rememberIfExecuted(RequestId id) {
+        AcceptedRequest request = requests.get(id);
+        if (request != null && request.hasAttempts() && !request.isIdempotent()) {
+            executed.add(id.value(), clock.monotonicMs());
+        }
+    }
+
     /** Answers a request; does nothing if it has been answered or its client has closed the connection. */
     private void complete(RequestId id, Buffer response) {
         AcceptedRequest request = remove(id);
@@ -109,7 +122,7 @@
     void abandon(RequestId id) {
         AcceptedRequest request = remove(id);
         if (request != null && request.hasAttempts()) {
-            abandoned.add(id.value(), clock.monotonicMs());
+            executed.add(id.value(), clock.monotonicMs());
         }
         eventLoop.enqueue(new Event.ClientDisconnected(id));
     }
--- a/gateway/src/main/java/ploverdale/net/client/RequestAcceptor.java
+++ b/gateway/src/main/java/ploverdale/net/client/RequestAcceptor.java
@@ -7,6 +7,7 @@
 import ploverdale.model.GroupId;
 import ploverdale.model.RequestClass;
 import ploverdale.model.RequestClass.Consistency;
+import ploverdale.model.RequestClass.Idempotence;
 import ploverdale.model.RequestClassId;
 import ploverdale.model.RequestId;
 import ploverdale.model.SessionId;
@@ -93,7 +94,10 @@
         }
         RequestId id = new RequestId(query.id(), nextSubmission++);
         long timeoutAt = Math.min(maxDeadline, arrivedAt + (long) Math.floor(query.timeoutMs() * TICKS_PER_MS));
-        register(session, query, id, Math.max(0, timeoutAt - arrivedAt) / TICKS_PER_MS);
+        RequestClass requestClass = settings.started().requestClasses().get(classIndex);
+        boolean idempotent = requestClass.idempotence() == Idempotence.IDEMPOTENT;
+        long timeoutMs = Math.max(0, timeoutAt - arrivedAt) / TICKS_PER_MS;
+        register(session, query, id, idempotent, timeoutMs);
         dispatch(arrivalEvent(id, query, classIndex, tenantIndex, arrivedAt, timeoutAt), query.key());
     }
 
@@ -106,7 +110,8 @@
         return settings.tenants().isEmpty() ? 0 : settings.tenants().indexOf(tenant);
     }
 
-    private void register(ClientSession session, ClientMessage.RequestQuery query, RequestId id, long timeoutMs) {
+    private void register(
+            ClientSession session, ClientMessage.RequestQuery query, RequestId id, boolean idempotent, long timeoutMs) {
         long nowMs = clock.clock().monotonicMs();
         limits.markAwaitingResponse(session);
         requestRate.onRequest(nowMs);
@@ -114,7 +119,7 @@
         PendingResponse response = PendingResponse.of(id);
         session.awaitResponse(response);
         long overdueAtMs = nowMs + timeoutMs + InFlightRequests.OVERDUE_AFTER_TIMEOUT_MS;
-        inFlight.add(new AcceptedRequest(query, session, response, overdueAtMs));
+        inFlight.add(new AcceptedRequest(query, session, response, idempotent, overdueAtMs));
     }
 
     private Event.RequestArrived arrivalEvent(
--- a/gateway/src/test/java/ploverdale/AbandonedIdTest.java
+++ b/gateway/src/test/java/ploverdale/AbandonedIdTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Regression test for requests that ran twice because their id came again after its client had left. */
+/** Regression tests for requests that ran twice because their id came again after its client had left. */
 @Timeout(60)
 class AbandonedIdTest {
     @Test
@@ -24,4 +24,18 @@
             assertThat(third.readResponse()).as("another id is served").isEqualTo("row 07 ready");
         }
     }
+
+    /** Regression test for a write that ran again: it had been answered, but its client had left without the answer. */
+    @Test
+    void anIdWhoseWriteWasAnsweredIsNotForwardedAgain() throws Exception {
+        try (GatewayTestFixture net = new GatewayTestFixture("p").start()) {
+            String query = net.queryText("order");
+            TestClient first = net.connect().sendQuery(query);
+            net.servers.get("p").nextQuery().sendRow(new byte[] {7});
+            assertThat(first.readResponse()).as(net::log).isEqualTo("row 07 ready");
+            TestClient other = net.connect().sendQuery(query);
+            assertThat(other.readResponse()).as(net::log).isEqualTo("42710 ready");
+            assertThat(net.servers.get("p").receivedRequests).as(net::log).hasSize(1);
+        }
+    }
 }
