Accept again after a connection that could not be set up

Callers would have found that nothing is accepted any more, once a connection could not be set up. Found by one of two runs of the whole suite: SystemCallFailuresTest, a client whose socket options cannot be set; the next client had no greeting for 20 s.

AcceptPacing stopped reading from the listener and then asked the last accepted connection for its event loop, to go on after its next turn. A connection that could not be registered has none: an IllegalStateException, and reading was never resumed.

Change: the event loop of the clients is set before a server listens, and no connection is asked.

AcceptPacingTest: a connection without an event loop no longer stops the listener.

--- a/gateway/src/main/java/ploverdale/net/eventloop/AcceptPacing.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/AcceptPacing.java
@@ -3,8 +3,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Accepts no more connections than the clients' event loop can set up between two reads of its sockets. Runs on the event
@@ -19,7 +21,13 @@
     /** Connections that are accepted at a time; setting one up takes a fraction of a millisecond. */
     static final int MAX_ACCEPTS = 8;
 
-    private Channel lastAccepted; // null if nothing has been accepted since the last pause
+    private final Supplier<EventLoop> clientLoop;
+    private boolean hasAccepted; // since the last pause
+
+    /** @param clientLoop returns the event loop that sets the connections up; evaluated when one has been accepted */
+    AcceptPacing(Supplier<EventLoop> clientLoop) {
+        this.clientLoop = clientLoop;
+    }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
@@ -30,23 +38,24 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object accepted) {
         context.fireChannelRead(accepted);
-        lastAccepted = (Channel) accepted;
+        hasAccepted = true;
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (lastAccepted != null) {
+        if (hasAccepted) {
+            hasAccepted = false;
             Channel listener = context.channel();
             listener.config().setAutoRead(false);
-            // a scheduled task runs in the next turn, whereas a plain task may run in the same turn
-            lastAccepted
-                    .eventLoop()
+            // The loop is not asked of the connection, which has none if it could not be set up.
+            // A scheduled task runs in the next turn, whereas a plain task may run in the same turn
+            clientLoop
+                    .get()
                     .schedule(
                             () -> listener.eventLoop()
                                     .execute(() -> listener.config().setAutoRead(true)),
                             0,
                             TimeUnit.NANOSECONDS);
-            lastAccepted = null;
         }
         context.fireChannelReadComplete();
     }
--- a/gateway/src/main/java/ploverdale/net/eventloop/SingleLoopVertx.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/SingleLoopVertx.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.internal.VertxInternal;
 import io.vertx.core.spi.transport.Transport;
 
 /** Creates the Vert.x instance that a gateway runs on. Its methods may be called on any thread. */
@@ -29,7 +30,7 @@
 
     private static Vertx create(SleepingTransport transport) {
         System.setProperty("vertx.disableDnsResolver", "true");
-        return Vertx.builder()
+        Vertx vertx = Vertx.builder()
                 .withTransport(transport)
                 .with(new VertxOptions()
                         .setEventLoopPoolSize(1)
@@ -40,5 +41,7 @@
                                 .setFileCachingEnabled(false)
                                 .setClassPathResolvingEnabled(false)))
                 .build();
+        transport.setClientLoop(((VertxInternal) vertx).nettyEventLoopGroup().next());
+        return vertx;
     }
 }
--- a/gateway/src/main/java/ploverdale/net/eventloop/SleepingTransport.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/SleepingTransport.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
@@ -40,6 +41,7 @@
 
     private final AcceptRetry acceptRetry = new AcceptRetry();
     private final Transport nio;
+    private volatile EventLoop clientLoop;
 
     /** Creates a transport on the NIO transport of Vert.x. */
     SleepingTransport() {
@@ -55,6 +57,11 @@
         this.nio = nio;
     }
 
+    /** Sets the event loop that sets accepted connections up. To be called before a server listens. */
+    void setClientLoop(EventLoop loop) {
+        clientLoop = loop;
+    }
+
     @Override
     public String name() {
         return "nio";
@@ -101,7 +108,7 @@
         ChannelFactory<? extends ServerChannel> listeners = nio.serverChannelFactory(domainSocket);
         return () -> {
             ServerChannel listener = listeners.newChannel();
-            listener.pipeline().addFirst(acceptRetry, new AcceptPacing());
+            listener.pipeline().addFirst(acceptRetry, new AcceptPacing(() -> clientLoop));
             return listener;
         };
     }
--- a/gateway/src/test/java/ploverdale/net/eventloop/AcceptPacingTest.java
+++ b/gateway/src/test/java/ploverdale/net/eventloop/AcceptPacingTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServerOptions;
 import java.net.InetAddress;
@@ -12,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -24,6 +28,19 @@
     /** Connections that may be set up between two runs of a timer: those of a turn, and one turn that had begun. */
     private static final int MAX_BETWEEN_TIMERS = 2 * AcceptPacing.MAX_ACCEPTS;
 
+    /** Regression test for a listener that accepted nothing any more after a connection that could not be set up. */
+    @Test
+    void theListenerGoesOnAfterAConnectionThatHasNoEventLoop() {
+        AtomicReference<EventLoop> loop = new AtomicReference<>();
+        EmbeddedChannel listener = new EmbeddedChannel(new AcceptPacing(loop::get));
+        loop.set(listener.eventLoop());
+        listener.writeInbound(new NioSocketChannel()); // not registered
+        listener.runScheduledPendingTasks();
+        listener.runPendingTasks();
+        assertThat(listener.config().isAutoRead()).isTrue();
+        listener.checkException();
+    }
+
     /** Regression test for an event loop that sets up connections for up to a second before it runs its timers. */
     @Test
     void timersRunBetweenConnectionsHoweverManyWaitToBeAccepted() throws Exception {
