Refuse an id that comes again only if an attempt was written for it

Seen: ReusedIdTest failed once in the whole test script, all of its 20 answers were 42710; its last check wants one that was served.

Cause, two parts. An id was remembered as one that may have run once an attempt was decided; the look for the client's close right before the write then ended the attempt with nothing sent, and the id was refused for a minute all the same. And two submissions that are read in one turn of the event loop: the second is refused since the first is in flight. Which of the two orders comes up is chance, so the check depended on it.

Change: an id counts from the write of an attempt on. The same fact decides now whether a request whose client may hide its close is rejected or failed; it was the number of decided attempts.

The check of ReusedIdTest is replaced: each answer is looked at, with the number of attempts that arrived. Rounds whose id comes again after the pause must be served with one attempt, ten of thirty; in the other twenty, which are what they were, at most one may arrive.

--- a/gateway/src/main/java/ploverdale/net/GatewayActions.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayActions.java
@@ -1,5 +1,6 @@
 package ploverdale.net;
 
+import io.vertx.core.buffer.Buffer;
 import ploverdale.clock.ServerClock;
 import ploverdale.log.Log;
 import ploverdale.model.Action;
@@ -81,11 +82,16 @@
                 attempt.server(),
                 timeLeft,
                 () -> mayBeWritten(attempt, accepted, clockChanges),
-                waitMs -> MessageWriter.request(accepted.query(), waitMs),
+                waitMs -> encode(accepted, waitMs),
                 attemptNumber > 0 || accepted.query().resubmitted(),
                 result -> onAttemptEnded(request, attemptNumber, attempt.server(), result));
     }
 
+    private static Buffer encode(AcceptedRequest accepted, long waitMs) {
+        accepted.onAttemptWritten();
+        return MessageWriter.request(accepted.query(), waitMs);
+    }
+
     /** Ends an attempt whose client disconnected while the router was deciding. */
     private void endForDisconnectedClient(Action.StartAttempt attempt) {
         Event.Outcome outcome = Event.Outcome.NEVER_SENT;
--- a/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
+++ b/gateway/src/main/java/ploverdale/net/client/AcceptedRequest.java
@@ -13,6 +13,7 @@
     private final boolean idempotent;
     private final long overdueAtMs;
     private int attempts;
+    private boolean mayHaveRun;
 
     /**
      * Creates a request without attempts.
@@ -45,14 +46,14 @@
         return attempts++;
     }
 
-    /** Returns whether at most one attempt has been started. */
-    boolean isFirstAttempt() {
-        return attempts <= 1;
+    /** Called right before an attempt is written to a server. */
+    public void onAttemptWritten() {
+        mayHaveRun = true;
     }
 
-    /** Returns whether an attempt has been started. */
-    boolean hasAttempts() {
-        return attempts > 0;
+    /** Returns whether an attempt has been written to a server, so that the request may have run. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
     }
 
     /** Returns whether the request may run more than once. */
--- a/gateway/src/main/java/ploverdale/net/client/ExecutedRequests.java
+++ b/gateway/src/main/java/ploverdale/net/client/ExecutedRequests.java
@@ -8,7 +8,7 @@
 
 /**
  * Remembers the ids of requests that may have run, or may still run: those whose clients left after an attempt had been
- * started, and writes that were answered after an attempt and must not run again. A request with the same id must not be
+ * written, and writes that were answered after an attempt and must not run again. A request with the same id must not be
  * forwarded. Bounded in time and number; of each id only a hash is kept. Not thread-safe.
  */
 final class ExecutedRequests {
--- a/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
+++ b/gateway/src/main/java/ploverdale/net/client/InFlightRequests.java
@@ -105,7 +105,7 @@
      */
     private void rememberIfExecuted(RequestId id) {
         AcceptedRequest request = requests.get(id);
-        if (request != null && request.hasAttempts() && !request.isIdempotent()) {
+        if (request != null && request.mayHaveRun() && !request.isIdempotent()) {
             executed.add(id.value(), clock.monotonicMs());
         }
     }
@@ -121,7 +121,7 @@
     /** Removes a request that its client no longer waits for, and notifies the router. */
     void abandon(RequestId id) {
         AcceptedRequest request = remove(id);
-        if (request != null && request.hasAttempts()) {
+        if (request != null && request.mayHaveRun()) {
             executed.add(id.value(), clock.monotonicMs());
         }
         eventLoop.enqueue(new Event.ClientDisconnected(id));
@@ -134,10 +134,10 @@
     void endForUnreadInput(AcceptedRequest request) {
         log.rateLimited("request not sent", "its client sends faster than it is read"); // log line: on-call guide
         eventLoop.enqueue(new Event.ClientDisconnected(request.id())); // prevents a second answer by the router
-        if (request.isFirstAttempt()) {
-            reject(request.id(), 0);
-        } else {
+        if (request.mayHaveRun()) {
             fail(request.id());
+        } else {
+            reject(request.id(), 0);
         }
     }
 
--- a/gateway/src/test/java/ploverdale/AbandonedIdTest.java
+++ b/gateway/src/test/java/ploverdale/AbandonedIdTest.java
@@ -25,6 +25,27 @@
         }
     }
 
+    /** Regression test for a write that was refused, as if it had run, though nothing of it had been sent to a server. */
+    @Test
+    void anIdOfWhichNothingWasSentBeforeItsClientLeftIsServed() throws Exception {
+        try (GatewayTestFixture net = new GatewayTestFixture("p").start()) {
+            FakeDatabaseServer server = net.servers.get("p");
+            server.answersWrites = true;
+            assertThat(net.connect().sendQuery(net.queryText("order")).readResponse())
+                    .isEqualTo("row 07 ready"); // leaves an idle connection to the server
+            String query = net.queryText("order");
+            TestClient left = net.connect();
+            net.pauseLoopWhileReading();
+            left.sendQuery(query).close();
+            net.resume();
+            TestClient other = net.connect(); // takes a turn of the event loop after the one that reads the first
+            assertThat(other.sendQuery(query).readResponse()).as(net::log).isEqualTo("row 07 ready");
+            assertThat(server.receivedRequests)
+                    .as("the write before and one attempt: %s", net.log())
+                    .hasSize(2);
+        }
+    }
+
     /** Regression test for a write that ran again: it had been answered, but its client had left without the answer. */
     @Test
     void anIdWhoseWriteWasAnsweredIsNotForwardedAgain() throws Exception {
--- a/gateway/src/test/java/ploverdale/ReusedIdTest.java
+++ b/gateway/src/test/java/ploverdale/ReusedIdTest.java
@@ -15,7 +15,7 @@
 /** Clients that leave, and whose id comes again on another connection, while the process is paused. */
 @Timeout(120)
 class ReusedIdTest {
-    private static final int ROUNDS = 20;
+    private static final int ROUNDS = 30;
     private static final int SOCKETS = 256;
     private static final int CONNECTIONS = 4;
     private static final int MAX_DELAY_MS = 25;
@@ -24,6 +24,10 @@
     /** Time in which a second attempt would arrive at the server. */
     private static final long SETTLE_MS = 100;
 
+    private static final List<String> SERVED = List.of("row 07 ready, received 1");
+    private static final List<String> SERVED_OR_REFUSED =
+            List.of("row 07 ready, received 1", "42710 ready, received 0", "42710 ready, received 1");
+
     private final long seed = System.nanoTime();
     private final SplittableRandom random = new SplittableRandom(seed);
 
@@ -54,19 +58,25 @@
         server.answersWrites = true;
     }
 
-    /**
-     * Sends a write and leaves, and sends the same write on another connection, while the process is paused; returns the
-     * answer to the second.
-     */
+    /** Pauses the process while it waits for input. */
+    private static void pause(ServingProcess gateway) throws Exception {
+        Thread.sleep(SETTLE_MS);
+        signal(gateway, "STOP");
+    }
+
+    private void sendAndLeave(TestClient client, String query) throws Exception {
+        client.sendQuery(query);
+        Thread.sleep(random.nextInt(1, MAX_DELAY_MS));
+        client.close();
+        Thread.sleep(random.nextInt(1, MAX_DELAY_MS));
+    }
+
+    /** Sends a write twice while the process is paused, the first client leaving; returns the answer to the second. */
     private String sendTwiceWhilePaused(ServingProcess gateway, String query) throws Exception {
         TestClient first = new TestClient(gateway.port()).completeStartup();
-        Thread.sleep(SETTLE_MS); // the gateway waits for input
-        signal(gateway, "STOP");
+        pause(gateway);
         try (TestClient second = new TestClient(gateway.port())) {
-            first.sendQuery(query);
-            Thread.sleep(random.nextInt(1, MAX_DELAY_MS));
-            first.close();
-            Thread.sleep(random.nextInt(1, MAX_DELAY_MS));
+            sendAndLeave(first, query);
             second.write(MessageWriter.startup()).sendQuery(query);
             Thread.sleep(PAUSE_MS);
             signal(gateway, "CONT");
@@ -75,6 +85,18 @@
         }
     }
 
+    /** Sends a write and leaves while the process is paused, and sends it again after that; returns the answer. */
+    private String sendAgainAfterPause(ServingProcess gateway, String query) throws Exception {
+        TestClient first = new TestClient(gateway.port()).completeStartup();
+        pause(gateway);
+        sendAndLeave(first, query);
+        Thread.sleep(PAUSE_MS);
+        signal(gateway, "CONT");
+        try (TestClient second = new TestClient(gateway.port())) {
+            return second.completeStartup().sendQuery(query).readResponse();
+        }
+    }
+
     /** Regression test for a write that is sent twice: an attempt for the client that left was made with the later text. */
     @Test
     void aWriteWhoseClientLeftAndWhoseIdComesAgainInOneTurnRunsAtMostOnce() throws Exception {
@@ -83,19 +105,20 @@
             Path configuration = directory.resolve("gateway.json");
             Files.writeString(configuration, GatewayTestFixture.configuration(net.discovery, SOCKETS, 30_000));
             try (ServingProcess gateway = ServingProcess.start(directory, ServingProcess.onClassPath(configuration))) {
-                List<String> answers = new ArrayList<>();
                 for (int round = 0; round < ROUNDS; round++) {
                     openServerConnections(net, gateway.port());
                     net.servers.get("p").receivedRequests.clear();
-                    answers.add(sendTwiceWhilePaused(gateway, net.queryText("order")));
+                    boolean whilePaused = round % 3 > 0;
+                    String query = net.queryText("order");
+                    String answer =
+                            whilePaused ? sendTwiceWhilePaused(gateway, query) : sendAgainAfterPause(gateway, query);
                     Thread.sleep(SETTLE_MS);
-                    assertThat(net.servers.get("p").receivedRequests)
-                            .as("round %d, answers %s, log:\n%s", round, answers, gateway.log())
-                            .hasSizeLessThanOrEqualTo(1);
+                    int received = net.servers.get("p").receivedRequests.size();
+                    // Refused only while the id is in flight; once its client is gone, nothing has been sent for it.
+                    assertThat(answer + ", received " + received)
+                            .as("round %d, log:\n%s", round, gateway.log())
+                            .isIn(whilePaused ? SERVED_OR_REFUSED : SERVED);
                 }
-                assertThat(answers)
-                        .as("some write was served, and not merely refused")
-                        .contains("row 07 ready");
             }
         }
     }
