Draw clients that leave and send their write again in rig pauses

Cause: the rig that should have found the write that ran twice had clients that never leave and never use an id again.

Change: eight clients a gateway send a write, leave within 25 ms, and send it again under the same id on another connection, startup and query in one, while the gateways are paused at random. The ledger finds a second attempt or effect. A run takes any number of such background clients; what they share with the clients that change gateways is one class now (SingleRequestConnection). The group's parameters have names.

--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -25,6 +25,7 @@
 import ploverdale.tools.model.GroupModel;
 import ploverdale.tools.model.GroupParameters;
 import ploverdale.tools.model.ServerModel.Fault;
+import ploverdale.tools.stand.BackgroundClients;
 import ploverdale.tools.stand.Clients;
 import ploverdale.tools.stand.FloodClients;
 import ploverdale.tools.stand.GatewayConfiguration;
@@ -78,6 +79,7 @@
     private final long startedAtNs = System.nanoTime();
     private final DiscoveryAgents agents;
     private LossyLink peerLink; // carries the datagrams between gateways
+    private final List<BackgroundClients> backgroundClients = new ArrayList<>();
     private ReconnectingClients reconnectingClients;
     private long peakMemoryKb; // the highest of all gateways
 
@@ -86,20 +88,9 @@
         this.schedule = schedule;
         this.workload = workload;
         random = new SplittableRandom(schedule.seed());
-        GroupParameters parameters = new GroupParameters(
-                (workload.reconnectingClients() == null ? REPLICATION_DELAY_MS : REPLICATION_DELAY_RECONNECTING_MS)
-                        * MS,
-                300 * MS,
-                600 * MS,
-                300 * MS,
-                4,
-                8 * MS,
-                0.3,
-                6000 * MS,
-                2.5,
-                1000 * MS,
-                5000 * MS,
-                4);
+        boolean hasSessions = workload.reconnectingClients() != null;
+        GroupParameters parameters = GroupParameters.withReplicationDelay(
+                hasSessions ? REPLICATION_DELAY_RECONNECTING_MS : REPLICATION_DELAY_MS);
         GroupModel model = new GroupModel(
                 parameters, random.split(), SERVERS, Clock.system().now(), (now, what) -> note("cluster", what));
         cluster = new TestCluster(vertx, model, ledger, SERVERS, LIST_DELAY_MS);
@@ -164,15 +155,7 @@
                     for (int i = 0; i < clients.size(); i++) {
                         clients.get(i).start(workload.requestsPerSecond().get(i), 0);
                     }
-                    if (workload.reconnectingClients() != null) {
-                        List<Integer> ports = new ArrayList<>();
-                        for (int i = 0; i < schedule.gateways(); i++) {
-                            ports.add(links.get("n" + i + " clients").port());
-                        }
-                        reconnectingClients = new ReconnectingClients(
-                                vertx, ledger, random.split(), ports, workload.reconnectingClients());
-                        reconnectingClients.start();
-                    }
+                    startBackgroundClients();
                     for (Step s : schedule.steps()) {
                         vertx.setTimer(Math.max(1, s.atMs()), y -> apply(s));
                     }
@@ -180,9 +163,7 @@
                 })
                 .compose(x -> {
                     links.values().forEach(FaultyLink::heal);
-                    if (reconnectingClients != null) {
-                        reconnectingClients.stop();
-                    }
+                    backgroundClients.forEach(BackgroundClients::stop);
                     Promise<Void> answered = Promise.promise();
                     int[] left = {clients.size()};
                     clients.forEach(c -> c.stop(() -> {
@@ -200,6 +181,21 @@
                 .map(x -> result());
     }
 
+    private void startBackgroundClients() {
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < schedule.gateways(); i++) {
+            ports.add(links.get("n" + i + " clients").port());
+        }
+        if (workload.reconnectingClients() != null) {
+            reconnectingClients =
+                    new ReconnectingClients(vertx, ledger, random.split(), ports, workload.reconnectingClients());
+            backgroundClients.add(reconnectingClients);
+        }
+        workload.background()
+                .forEach(factory -> backgroundClients.add(factory.create(vertx, ledger, random.split(), ports)));
+        backgroundClients.forEach(BackgroundClients::start);
+    }
+
     private FleetResult result() {
         cluster.close();
         links.values().forEach(FaultyLink::close);
--- a/tools/src/main/java/ploverdale/tools/fleet/Workload.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Workload.java
@@ -3,6 +3,7 @@
 import java.util.Collections;
 import java.util.List;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.stand.BackgroundClients;
 import ploverdale.tools.stand.GatewayConfiguration;
 import ploverdale.tools.stand.ReconnectingClients;
 import ploverdale.tools.stand.TestCluster;
@@ -19,6 +20,7 @@
  * @param connectionLoad the client connections and descriptors of each gateway
  * @param ownAgents whether each gateway has two discovery agents of its own, and starts with the endpoint list of the run's
  *     beginning
+ * @param background create further clients
  */
 public record Workload(
         Launch launch,
@@ -27,7 +29,8 @@
         TestCluster.RequestListener traffic,
         ReconnectingClients.Behavior reconnectingClients,
         ConnectionLoad connectionLoad,
-        boolean ownAgents) {
+        boolean ownAgents,
+        List<BackgroundClients.Factory> background) {
     /** Creates a workload with the minimum of connections and without own discovery agents. */
     public Workload(
             Launch launch,
@@ -35,7 +38,15 @@
             long settleMs,
             TestCluster.RequestListener traffic,
             ReconnectingClients.Behavior reconnectingClients) {
-        this(launch, requestsPerSecond, settleMs, traffic, reconnectingClients, ConnectionLoad.MINIMAL, false);
+        this(
+                launch,
+                requestsPerSecond,
+                settleMs,
+                traffic,
+                reconnectingClients,
+                ConnectionLoad.MINIMAL,
+                false,
+                List.of());
     }
 
     /** Creates a workload that also has no reconnecting clients. */
@@ -45,12 +56,27 @@
 
     /** Returns this workload with another connection load. */
     public Workload with(ConnectionLoad replacement) {
-        return new Workload(launch, requestsPerSecond, settleMs, traffic, reconnectingClients, replacement, ownAgents);
+        return new Workload(
+                launch, requestsPerSecond, settleMs, traffic, reconnectingClients, replacement, ownAgents, background);
     }
 
     /** Returns this workload with two discovery agents for each gateway. */
     public Workload withOwnAgents() {
-        return new Workload(launch, requestsPerSecond, settleMs, traffic, reconnectingClients, connectionLoad, true);
+        return new Workload(
+                launch, requestsPerSecond, settleMs, traffic, reconnectingClients, connectionLoad, true, background);
+    }
+
+    /** Returns this workload with other background clients. */
+    public Workload withBackground(BackgroundClients.Factory... clients) {
+        return new Workload(
+                launch,
+                requestsPerSecond,
+                settleMs,
+                traffic,
+                reconnectingClients,
+                connectionLoad,
+                ownAgents,
+                List.of(clients));
     }
 
     /** Returns a workload that sends the same rate to every gateway as soon as all gateways serve. */
--- a/tools/src/main/java/ploverdale/tools/model/GroupParameters.java
+++ b/tools/src/main/java/ploverdale/tools/model/GroupParameters.java
@@ -28,4 +28,35 @@
         double overloadFactor,
         long overloadWindow,
         long tokenWindow,
-        double catchUpRate) {}
+        double catchUpRate) {
+    private static final long MS = 10; // ticks per millisecond
+
+    private static final long DETECTION_MS = 300;
+    private static final long ELECTION_MS = 600;
+    private static final long HANDOVER_MS = 300;
+    private static final int CORES = 4;
+    private static final long MEAN_SERVICE_MS = 8;
+    private static final double INITIAL_CAPACITY = 0.3;
+    private static final long SLOW_START_MS = 6000;
+    private static final double OVERLOAD_FACTOR = 2.5;
+    private static final long OVERLOAD_WINDOW_MS = 1000;
+    private static final long TOKEN_WINDOW_MS = 5000;
+    private static final double CATCH_UP_RATE = 4;
+
+    /** Returns the parameters of a small group with this replication delay, in milliseconds. */
+    public static GroupParameters withReplicationDelay(long replicationDelayMs) {
+        return new GroupParameters(
+                replicationDelayMs * MS,
+                DETECTION_MS * MS,
+                ELECTION_MS * MS,
+                HANDOVER_MS * MS,
+                CORES,
+                MEAN_SERVICE_MS * MS,
+                INITIAL_CAPACITY,
+                SLOW_START_MS * MS,
+                OVERLOAD_FACTOR,
+                OVERLOAD_WINDOW_MS * MS,
+                TOKEN_WINDOW_MS * MS,
+                CATCH_UP_RATE);
+    }
+}
--- a/tools/src/main/java/ploverdale/tools/rig/Pauses.java
+++ b/tools/src/main/java/ploverdale/tools/rig/Pauses.java
@@ -14,11 +14,13 @@
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.Workload;
 import ploverdale.tools.fleet.Workload.ConnectionLoad;
+import ploverdale.tools.stand.LeavingClients;
 
 /**
  * Runs gateways as processes that are repeatedly paused for a fraction of a second, as happens on a machine short of
  * CPU, while clients hold more connections open than a gateway keeps idle. A request that arrives during a pause must
- * be answered; it is lost if the gateway closes its connection as idle instead.
+ * be answered; it is lost if the gateway closes its connection as idle instead. Other clients leave and send their write
+ * again, and it must not run twice.
  */
 final class Pauses {
     private static final int GATEWAYS = 2;
@@ -43,7 +45,7 @@
     }
 
     static Workload workload(Launch launch) {
-        return Workload.even(launch, GATEWAYS, REQUESTS_PER_SECOND).with(CROWD);
+        return Workload.even(launch, GATEWAYS, REQUESTS_PER_SECOND).with(CROWD).withBackground(LeavingClients::new);
     }
 
     /** Returns the fault schedule of that seed, with pauses of each gateway independent of the others. */
--- a/tools/src/main/java/ploverdale/tools/stand/ReconnectingClients.java
+++ b/tools/src/main/java/ploverdale/tools/stand/ReconnectingClients.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetSocket;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,8 +10,6 @@
 import org.HdrHistogram.Histogram;
 import ploverdale.clock.Clock;
 import ploverdale.net.postgres.MessageWriter;
-import ploverdale.net.postgres.ServerMessage;
-import ploverdale.net.postgres.ServerMessageReader;
 import ploverdale.tools.ledger.Ledger;
 import ploverdale.tools.ledger.Ledger.Answer;
 
@@ -21,7 +18,7 @@
  * the last successful write of its session. A write that did not succeed may be submitted again under its id, possibly
  * to another gateway. A session has at most one request in flight.
  */
-public final class ReconnectingClients {
+public final class ReconnectingClients implements BackgroundClients {
     /**
      * How the clients behave.
      *
@@ -62,7 +59,7 @@
         net = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
     }
 
-    /** Starts to send requests, until {@link #stop}. */
+    @Override
     public void start() {
         vertx.setTimer(
                 Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * 1000 / behavior.requestsPerSecond())),
@@ -79,6 +76,7 @@
                 });
     }
 
+    @Override
     public void stop() {
         stopped = true;
     }
@@ -109,17 +107,14 @@
     }
 
     /** One submission of a request, on a connection of its own. */
-    private final class Submission {
+    private final class Submission implements SingleRequestConnection.Listener {
         private final int session;
         private final boolean write;
         private final String id;
         private final int earlierSubmissions;
         private final int gateway = random.nextInt(ports.size());
         private final long createdNs = System.nanoTime();
-        private final ServerMessageReader reader = new ServerMessageReader();
         private boolean sent;
-        private boolean finished;
-        private Answer answer;
 
         private Submission(int session, boolean write, String id, int earlierSubmissions) {
             this.session = session;
@@ -129,43 +124,12 @@
         }
 
         private void connect() {
-            net.connect(ports.get(gateway), "127.0.0.1").onComplete(r -> {
-                if (r.failed()) {
-                    finish(null);
-                    return;
-                }
-                NetSocket socket = r.result();
-                boolean[] ready = {false};
-                socket.exceptionHandler(e -> {});
-                socket.closeHandler(x -> finish(null));
-                socket.handler(received -> {
-                    reader.feed(received);
-                    for (ServerMessage m = reader.next(); m != null; m = reader.next()) {
-                        if (m instanceof ServerMessage.ReadyForQuery && !ready[0]) {
-                            ready[0] = true;
-                            send(socket);
-                        } else if (m instanceof ServerMessage.ReadyForQuery) {
-                            finish(answer == null ? Answer.FAILED : answer);
-                            socket.close();
-                        } else if (m instanceof ServerMessage.CommandComplete) {
-                            answer = Answer.SUCCEEDED;
-                        } else if (m instanceof ServerMessage.ErrorResponse error) {
-                            answer =
-                                    error.code().equals("53300") || error.code().equals("57P03")
-                                            ? Answer.REJECTED
-                                            : Answer.FAILED;
-                        }
-                    }
-                });
-                socket.write(MessageWriter.startup());
-                vertx.setTimer(TIMEOUT_MS + ABANDON_AFTER_TIMEOUT_MS, x -> {
-                    finish(null);
-                    socket.close();
-                });
-            });
+            SingleRequestConnection connection = SingleRequestConnection.open(net, ports.get(gateway), this);
+            vertx.setTimer(TIMEOUT_MS + ABANDON_AFTER_TIMEOUT_MS, timer -> connection.giveUp());
         }
 
-        private void send(NetSocket socket) {
+        @Override
+        public void onReady(SingleRequestConnection connection) {
             long now = Clock.system().now();
             sent = true;
             requests++;
@@ -184,18 +148,14 @@
             }
             String comment = " /* id=" + id + ",c=" + (write ? "put" : "mine") + ",t=all,d=" + TIMEOUT_MS + ",cluster=0"
                     + (earlierSubmissions > 0 ? ",r=1" : "") + " */";
-            socket.write(MessageWriter.query((write
+            connection.send(MessageWriter.query((write
                             ? "INSERT INTO state (uid, val) VALUES ('s" + session + "', '\\x00') RETURNING val"
                             : "SELECT val FROM state WHERE uid = 's" + session + "'")
                     + comment));
         }
 
-        /** @param result null if the connection ended or timed out without an answer */
-        private void finish(Answer result) {
-            if (finished) {
-                return;
-            }
-            finished = true;
+        @Override
+        public void onEnded(Answer result) {
             if (sent && result != null) {
                 ledger.answered(id, result, Clock.system().now());
             } else if (sent) {
--- a/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/PausesTest.java
@@ -9,6 +9,9 @@
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.MutationCheck;
+import ploverdale.tools.ledger.Ledger.Broken;
+import ploverdale.tools.ledger.Ledger.Rule;
 
 /** Gateway processes that are paused repeatedly. */
 @Timeout(120)
@@ -22,8 +25,20 @@
         assertThat(result.broken().size())
                 .as(() -> schedule.text() + result.broken() + "\n" + String.join("\n", result.log()))
                 .isLessThanOrEqualTo(1);
+        assertThat(result.broken()).extracting(Broken::rule).doesNotContain(Rule.NO_EFFECT_TWICE);
         // The gateway must not take its own pause for unresponsive servers.
         assertThat(result.readsSucceeded()).as(result::figures).isGreaterThan(result.readsSent() * 98 / 100);
         assertThat(result.writesSucceeded()).as(result::figures).isGreaterThan(result.writesSent() * 98 / 100);
     }
+
+    /** Checks that the clients that leave and send their write again show when requests are found by their id alone. */
+    @Test
+    void aWriteThatIsSentAgainRunsTwiceIfSubmissionsAreNotToldApart() throws Exception {
+        Launch launch = Launch.locate(List.of());
+        String file = "net/client/RequestAcceptor.java";
+        try (MutationCheck mutation = MutationCheck.of(launch, file, "nextSubmission++", "nextSubmission")) {
+            FleetResult result = Fleet.run(Pauses.schedule(1), Pauses.workload(mutation.launch(launch)));
+            assertThat(result.broken()).extracting(Broken::rule).contains(Rule.NO_EFFECT_TWICE);
+        }
+    }
 }
