Draw new, long keys in rig floods, and report gateways that end by themselves

Cause: no rig had keys longer than a few bytes. And with them the rig still held: the gateway of a trial that kept the keys ended out of memory, and the ledger excused its requests as those of a gateway that the schedule had killed.

A process that ends without being killed or terminated breaks a rule of its own, in every rig.

--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -211,6 +211,7 @@
         }
         List<Ledger.Broken> broken = new ArrayList<>(ledger.close(Clock.system().now()));
         broken.addAll(floodLedger.broken());
+        gateways.forEach(gateway -> broken.addAll(gateway.crashes()));
         broken.forEach(b -> note("ledger", b.toString()));
         return new FleetResult(
                 schedule,
--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -13,8 +13,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
+import ploverdale.tools.ledger.Ledger.Broken;
+import ploverdale.tools.ledger.Ledger.Rule;
 
 /**
  * A gateway as a process of its own, started as in production: from the built jar, with the JVM options of
@@ -32,7 +36,9 @@
     private final String name;
     private final Launch launch;
     private final BiConsumer<String, String> log;
+    private final List<Integer> unrequestedExitCodes = new CopyOnWriteArrayList<>();
     private Process process;
+    private AtomicBoolean endRequested; // of the present process
     private Path settingsFile;
     private boolean killed;
     private CompletableFuture<Void> ready;
@@ -107,7 +113,14 @@
         command.addAll(launch.argumentOverrides.getOrDefault(name, launch.serveArguments));
         Process started = new ProcessBuilder(command).redirectErrorStream(true).start();
         CompletableFuture<Void> serving = new CompletableFuture<>();
+        AtomicBoolean requested = new AtomicBoolean();
+        started.onExit().thenAccept(ended -> {
+            if (!requested.get()) {
+                unrequestedExitCodes.add(ended.exitValue());
+            }
+        });
         process = started;
+        endRequested = requested;
         settingsFile = file;
         killed = false;
         ready = serving;
@@ -167,12 +180,14 @@
     /** Sends SIGKILL; completes when the process has ended and its resources are released. */
     public CompletableFuture<Void> kill() {
         killed = true;
-        return process == null
-                ? CompletableFuture.completedFuture(null)
-                : process.destroyForcibly()
-                        .onExit()
-                        .orTimeout(EXIT_TIMEOUT_S, TimeUnit.SECONDS)
-                        .thenApply(x -> null);
+        if (process == null) {
+            return CompletableFuture.completedFuture(null);
+        }
+        requestEnd();
+        return process.destroyForcibly()
+                .onExit()
+                .orTimeout(EXIT_TIMEOUT_S, TimeUnit.SECONDS)
+                .thenApply(x -> null);
     }
 
     /** Completes when the process has ended for whatever reason; at once if none was started. */
@@ -184,9 +199,24 @@
 
     /** Sends SIGTERM, which starts a graceful shutdown. */
     public void terminate() throws IOException, InterruptedException {
+        requestEnd();
         signal("TERM");
     }
 
+    /** Expects the end of the process from now on, unless it has ended. */
+    private void requestEnd() {
+        if (process != null && process.isAlive()) {
+            endRequested.set(true);
+        }
+    }
+
+    /** Returns a rule violation for each process that ended without being killed or terminated. */
+    List<Broken> crashes() {
+        return unrequestedExitCodes.stream()
+                .map(code -> new Broken(Rule.NO_CRASH, name + " ended by itself with exit code " + code))
+                .toList();
+    }
+
     /** Replaces the settings file and sends SIGHUP, on which the gateway reads it again. */
     public void reload(String settings) throws IOException, InterruptedException {
         if (alive()) {
--- a/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
+++ b/tools/src/main/java/ploverdale/tools/ledger/Ledger.java
@@ -25,7 +25,9 @@
         /** No server in slow start gets so many requests that it crashes. */
         NO_SLOW_START_OVERLOAD,
         /** No read returns data older than its staleness bound, or than the last succeeded write of its session. */
-        NO_STALE_READ
+        NO_STALE_READ,
+        /** No gateway process ends unless it is killed or terminated. */
+        NO_CRASH
     }
 
     /** The kinds of final answers. */
--- a/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/FloodsTest.java
@@ -12,6 +12,9 @@
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.MutationCheck;
+import ploverdale.tools.ledger.Ledger.Broken;
+import ploverdale.tools.ledger.Ledger.Rule;
 import ploverdale.tools.stand.FloodForm;
 
 /** Floods of a few seconds; longer series are started by hand with {@code rig floods --seeds 50}. */
@@ -74,6 +77,31 @@
                 """.formatted(form));
     }
 
+    private static FleetResult playLongKeys(Launch launch) throws Exception {
+        FaultSchedule schedule = FaultSchedule.read("day seed=1 gateways=1 lasts=12000\n");
+        return Fleet.run(schedule, Floods.withLongKeys(Floods.workload(launch, schedule)));
+    }
+
+    @Test
+    void longKeysTakeNoMemoryOnceTheirWritesAreAnswered() throws Exception {
+        Check check = Floods.check(playLongKeys(Launch.locate(List.of())));
+        assertThat(check.holds()).as("%s", check).isTrue();
+    }
+
+    /** Checks that these writes end a gateway that keeps their keys, and that the run shows it. */
+    @Test
+    void longKeysEndAGatewayThatKeepsThem() throws Exception {
+        Launch launch = Launch.locate(List.of());
+        String original = "private static UUID hash(SessionId session) {";
+        String replacement = "private static final java.util.List<SessionId> KEPT = new java.util.ArrayList<>();"
+                + original + "KEPT.add(session);";
+        try (MutationCheck mutation = MutationCheck.of(launch, "state/SessionWrites.java", original, replacement)) {
+            assertThat(playLongKeys(mutation.launch(launch)).broken())
+                    .extracting(Broken::rule)
+                    .contains(Rule.NO_CRASH);
+        }
+    }
+
     @Test
     @Tag("known-red")
     void noRequestIsSentAfterItsClientLeftWhileTcpHoldsBackItsInput() throws Exception {
