Draw sessions with several open writes and late answers in rig replicas

Cause: the rig that should have found the stale read of a session had clients with one write of a session open at a time, and all answers in order.

Change: sessions with up to three open writes, each on a connection of its own, and reads right behind each acknowledgement; a link may delay a share of a server's answers by up to 300 ms each. A link keeps the order of a connection's bytes now also when a delay ends; later bytes could pass earlier ones.

--- a/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
@@ -30,7 +30,7 @@
         LEAVE(1),
         /**
          * Changes a TCP link (gateway, a server or "discovery" or "clients", a {@link FaultyLink.State} or delay:MS or bytes:N
-         * or reset). Bytes are per second and direction.
+         * or late:SHARE or reset). Bytes are per second and direction; late is the share of answers that are delayed.
          */
         WAY(3),
         /** Changes the datagrams between gateways (sender, receiver, loss:SHARE or twice:SHARE or delay:MS or usual). */
--- a/tools/src/main/java/ploverdale/tools/fleet/FaultyLink.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultyLink.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /**
  * A TCP proxy between two parties that injects network faults: it holds the bytes of one or both directions, resets
@@ -37,6 +38,9 @@
         REFUSES
     }
 
+    /** By how much late bytes are delayed, at most. */
+    private static final int MAX_LATE_MS = 300;
+
     /** The time between two writes of a throttled link. */
     private static final long THROTTLE_INTERVAL_MS = 5;
 
@@ -49,6 +53,8 @@
     private State state = State.OPEN;
     private long delayMs;
     private int bytesPerInterval; // 0: unlimited
+    private double lateShare;
+    private RandomGenerator lateRandom; // null until some bytes are late
 
     private FaultyLink(Vertx vertx, String host, int targetPort) {
         this.vertx = vertx;
@@ -93,6 +99,17 @@
         delayMs = ms;
     }
 
+    /** Delays this share of what the target sends; on each connection, what it sends after that waits, too. */
+    public void delayAnswers(double share, RandomGenerator random) {
+        lateShare = share;
+        lateRandom = random;
+    }
+
+    private long answerDelayMs() {
+        boolean late = lateShare > 0 && lateRandom.nextDouble() < lateShare;
+        return late ? lateRandom.nextInt(1, MAX_LATE_MS) : 0;
+    }
+
     /** Limits the throughput of each connection and direction; 0: unlimited. */
     public void throttle(int bytesPerSecond) {
         bytesPerInterval = bytesPerSecond == 0 ? 0 : (int) Math.max(1, bytesPerSecond * THROTTLE_INTERVAL_MS / 1000);
@@ -102,6 +119,7 @@
     /** Removes all faults; held bytes are forwarded. */
     public void heal() {
         delayMs = 0;
+        lateShare = 0;
         bytesPerInterval = 0;
         setState(State.OPEN);
     }
@@ -159,15 +177,8 @@
             from.exceptionHandler(e -> {});
             from.closeHandler(x -> direction.onClosed());
             from.handler(buffer -> {
-                if (delayMs > 0) {
-                    direction.delayedBuffers++;
-                    vertx.setTimer(delayMs, x -> {
-                        direction.delayedBuffers--;
-                        direction.enqueue(buffer);
-                    });
-                } else {
-                    direction.enqueue(buffer);
-                }
+                long answerDelayMs = direction == toSource ? answerDelayMs() : 0;
+                direction.enqueueAfter(delayMs + answerDelayMs, buffer);
             });
         }
 
@@ -187,10 +198,23 @@
         private final class Direction {
             private final Deque<Buffer> queue = new ArrayDeque<>();
             private NetSocket to;
-            private int delayedBuffers;
+            private final Deque<Buffer> delayed = new ArrayDeque<>(); // a timer runs for each
+            private long lastDueAtMs;
             private boolean sourceClosed;
             private boolean awaitsInterval;
 
+            /** Forwards the bytes after this delay, and not before those that came earlier. */
+            private void enqueueAfter(long bufferDelayMs, Buffer buffer) {
+                long nowMs = System.nanoTime() / 1_000_000;
+                lastDueAtMs = Math.max(lastDueAtMs, nowMs + bufferDelayMs);
+                if (delayed.isEmpty() && bufferDelayMs == 0) {
+                    enqueue(buffer);
+                    return;
+                }
+                delayed.add(buffer);
+                vertx.setTimer(Math.max(1, lastDueAtMs - nowMs), timer -> enqueue(delayed.poll()));
+            }
+
             private void enqueue(Buffer buffer) {
                 queue.add(buffer);
                 forward();
@@ -227,12 +251,7 @@
                         });
                     }
                 }
-                if (!closed
-                        && sourceClosed
-                        && !blocked()
-                        && queue.isEmpty()
-                        && delayedBuffers == 0
-                        && !awaitsInterval) {
+                if (!closed && sourceClosed && !blocked() && queue.isEmpty() && delayed.isEmpty() && !awaitsInterval) {
                     closed = true;
                     connections.remove(ProxiedConnection.this);
                     to.close();
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -373,6 +373,8 @@
         }
         if (change.startsWith("delay:")) {
             link.delay(Long.parseLong(change.substring(6)));
+        } else if (change.startsWith("late:")) {
+            link.delayAnswers(Double.parseDouble(change.substring(5)), random.split());
         } else if (change.startsWith("bytes:")) {
             link.throttle(Integer.parseInt(change.substring(6)));
         } else if (change.equals("reset")) {
--- a/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
+++ b/tools/src/main/java/ploverdale/tools/rig/ReplicasRig.java
@@ -21,6 +21,7 @@
 import ploverdale.tools.fleet.GatewayProcess.Launch;
 import ploverdale.tools.fleet.ScheduleGenerator;
 import ploverdale.tools.fleet.Workload;
+import ploverdale.tools.stand.OverlappingWrites;
 import ploverdale.tools.stand.ReconnectingClients;
 
 /**
@@ -39,6 +40,7 @@
      */
     private static final long SETTLE_MS = 4500;
 
+    private static final double MAX_LATE_SHARE = 0.4;
     private static final double REQUESTS_PER_SECOND = 5; // of each gateway, from clients that stay with it
     static final ReconnectingClients.Behavior BEHAVIOR = new ReconnectingClients.Behavior(1000, 220, true);
     private static final String REPLICATION =
@@ -73,16 +75,27 @@
                 }
             }
         }
+        addLateAnswers(steps, gateways, new SplittableRandom(-seed));
         return new FaultSchedule(seed, gateways, DURATION_MS, steps);
     }
 
+    /** From one server to each gateway, some answers are late; a step that heals the link ends that. */
+    private static void addLateAnswers(List<Step> steps, int gateways, SplittableRandom random) {
+        String server = Fleet.SERVERS.get(random.nextInt(Fleet.SERVERS.size()));
+        for (int i = 0; i < gateways; i++) {
+            String change = "late:" + random.nextDouble(MAX_LATE_SHARE);
+            steps.add(Step.of(random.nextInt((int) DURATION_MS), Action.WAY, "n" + i, server, change));
+        }
+    }
+
     private static Workload workload(Launch launch, FaultSchedule schedule, ReconnectingClients.Behavior behavior) {
         return new Workload(
-                launch,
-                Collections.nCopies(schedule.gateways(), REQUESTS_PER_SECOND),
-                SETTLE_MS,
-                (request, server, now, started) -> {},
-                behavior);
+                        launch,
+                        Collections.nCopies(schedule.gateways(), REQUESTS_PER_SECOND),
+                        SETTLE_MS,
+                        (request, server, now, started) -> {},
+                        behavior)
+                .withBackground(OverlappingWrites::new);
     }
 
     static List<Check> play(long firstSeed, int seeds, int atATime) throws InterruptedException {
--- a/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
+++ b/tools/src/test/java/ploverdale/tools/rig/ReplicasRigTest.java
@@ -14,8 +14,11 @@
 import ploverdale.tools.fleet.Fleet;
 import ploverdale.tools.fleet.FleetResult;
 import ploverdale.tools.fleet.GatewayProcess.Launch;
+import ploverdale.tools.fleet.MutationCheck;
 import ploverdale.tools.fleet.Workload;
+import ploverdale.tools.ledger.Ledger.Broken;
 import ploverdale.tools.ledger.Ledger.Rule;
+import ploverdale.tools.stand.OverlappingWrites;
 import ploverdale.tools.stand.ReconnectingClients;
 
 /** Replication among gateway processes, for few sessions whose requests follow one another closely at any gateway. */
@@ -94,4 +97,32 @@
         FleetResult result = play("day seed=33 gateways=3 lasts=6000\n", List.of());
         assertThat(result.broken()).extracting(b -> b.rule()).contains(Rule.NO_STALE_READ);
     }
+
+    private static FleetResult playOverlappingWrites(Launch launch) throws Exception {
+        FaultSchedule schedule = FaultSchedule.read("""
+                day seed=34 gateways=1 lasts=8000
+                100 way n0 s-morning late:0.3
+                """);
+        ReconnectingClients.Behavior few = new ReconnectingClients.Behavior(12, 5, false);
+        Workload workload = new Workload(launch, List.of(5.0), 0, (request, server, now, started) -> {}, few);
+        return Fleet.run(schedule, workload.withBackground(OverlappingWrites::new));
+    }
+
+    @Test
+    void aSessionReadsAllItsWritesIfTheirAcknowledgementsArriveInAnotherOrder() throws Exception {
+        FleetResult result = playOverlappingWrites(Launch.locate(List.of()));
+        assertThat(result.broken()).as(() -> String.join("\n", result.log())).isEmpty();
+    }
+
+    /** Checks that the overlapping writes show when the last acknowledgement replaces that of a later commit. */
+    @Test
+    void aSessionReadsStaleDataIfTheLastAcknowledgementCounts() throws Exception {
+        Launch launch = Launch.locate(List.of());
+        String original = "committedAt.merge(hash, time, Math::max)";
+        try (MutationCheck mutation =
+                MutationCheck.of(launch, "state/SessionWrites.java", original, "committedAt.put(hash, time)")) {
+            FleetResult result = playOverlappingWrites(mutation.launch(launch));
+            assertThat(result.broken()).extracting(Broken::rule).contains(Rule.NO_STALE_READ);
+        }
+    }
 }
