Send SIGHUP in the rigs only to gateways that have started

Cause: the schedule sends SIGHUP 317 ms after a gateway's process was started, and starts took 4.2 to 5.9 s there (1.6 to 2.0 s alone). SIGHUP before the JVM has reached its main method ends it.

Change: the rig waits until the gateway serves, and keeps the order of changes. SIGHUP during the start, after main, stays checked by HangUpDuringStartTest.

--- a/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FaultSchedule.java
@@ -37,7 +37,7 @@
         WORDS(3),
         /** Changes a database server (id, a fault, or heals, restarts, drains, removes or returns). */
         SERVER(2),
-        /** Writes settings that name another discovery agent and sends SIGHUP (gateway, agent). */
+        /** Writes settings that name another discovery agent and sends SIGHUP, once it has started (gateway, agent). */
         HANG_UP(2),
         /** Changes a discovery agent (gateway, agent, a {@link DiscoveryAgent.State} or delay:MS or trickle:MS). */
         AGENT(3),
--- a/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/Fleet.java
@@ -78,6 +78,7 @@
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private final long startedAtNs = System.nanoTime();
     private final DiscoveryAgents agents;
+    private final HangUps hangUps;
     private LossyLink peerLink; // carries the datagrams between gateways
     private final List<BackgroundClients> backgroundClients = new ArrayList<>();
     private ReconnectingClients reconnectingClients;
@@ -97,6 +98,8 @@
         cluster.setRequestListener(this::onRequest);
         cluster.setDiscoveryReachable(g -> !cutOffFromDiscovery.getOrDefault(g, false));
         agents = new DiscoveryAgents(vertx, cluster, ledger);
+        hangUps =
+                new HangUps(vertx, gateways, agents, number -> settings(number).json(), this::note);
     }
 
     private void onRequest(String request, String server, long now, boolean started) {
@@ -321,21 +324,21 @@
             int number = arguments.get(0).startsWith("n")
                     ? Integer.parseInt(arguments.get(0).substring(1))
                     : -1;
+            String name = Integer.toString(number);
             switch (s.action()) {
                 case KILL -> {
-                    ledger.unavailable(Integer.toString(number), Clock.system().now());
+                    ledger.unavailable(name, Clock.system().now());
                     gateways.get(number).kill();
                 }
                 case START ->
                     startWhenEnded(number).onFailure(e -> note("schedule", "start failed: " + e.getMessage()));
                 case STOP -> {
-                    ledger.paused(Integer.toString(number), Clock.system().now());
+                    ledger.paused(name, Clock.system().now());
                     gateways.get(number).pause();
                 }
                 case GO_ON -> {
                     gateways.get(number).resume();
-                    ledger.availableAgain(
-                            Integer.toString(number), Clock.system().now());
+                    ledger.availableAgain(name, Clock.system().now());
                 }
                 case LEAVE -> gateways.get(number).terminate();
                 case WAY -> changeLink(number, arguments.get(1), arguments.get(2));
@@ -345,15 +348,12 @@
                             Integer.parseInt(arguments.get(1).substring(1)),
                             LossyLink.Conditions.parse(arguments.get(2)));
                 case SERVER -> changeServer(arguments.get(0), arguments.get(1));
-                case AGENT -> agents.change(Integer.toString(number), arguments.get(1), arguments.get(2));
+                case AGENT -> agents.change(name, arguments.get(1), arguments.get(2));
                 case FLOOD -> {
                     InetSocketAddress address = new InetSocketAddress(peerLink.host(number), listenPorts.get(number));
                     floods.start(FloodClients.Flood.parse(arguments), address, random.nextLong());
                 }
-                case HANG_UP -> {
-                    agents.follow(Integer.toString(number), arguments.get(1));
-                    gateways.get(number).reload(settings(number).json());
-                }
+                case HANG_UP -> hangUps.add(number, arguments.get(1));
                 default -> throw new IllegalStateException(s.toString());
             }
         } catch (IOException | InterruptedException | RuntimeException e) {
--- a/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/GatewayProcess.java
@@ -190,6 +190,11 @@
                 .thenApply(x -> null);
     }
 
+    /** Completes when the process serves clients or has ended; at once if none runs. */
+    CompletableFuture<Void> started() {
+        return alive() ? ready.handle((served, failure) -> null) : CompletableFuture.completedFuture(null);
+    }
+
     /** Completes when the process has ended for whatever reason; at once if none was started. */
     public CompletableFuture<Void> ended() {
         return process == null
