Call a discovery agent that answers its watches at once at a limited rate

Seen in a trial with an agent that holds no watch and answers each call at once, as a flood from discovery: 6,917 calls and as many log lines in 3 s with three servers; with 3,200 servers in each list 147 to 170 lists in 3 s and reads that took 20 to 270 ms while the loop did little else.

Cause: the next watch was started in the turn in which the last one was answered, whatever the answers cost and however fast they came. What the agent sends was the one input of the event loop without a limit on its rate beside datagrams.

Change: a watch is started no sooner than 50 ms after the call before, nor before a pause of four times the handling of the answer, 100 ms at most: within 200 ms the agent takes the call for a continuation of the watch. A watch that is held, as it should be, is followed at once as before. A log line, once a second, says that answers come at such a rate.

What it costs: a change that comes within 50 ms of the call before, or right after a large list, is known up to 100 ms later.

--- a/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
+++ b/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
@@ -16,7 +16,8 @@
 
 /**
  * Follows the endpoint list of the discovery agent: fetches the complete list, then watches it by consecutive long
- * polls, at the address in the current configuration. Failed calls are retried after a randomized backoff.
+ * polls, at the address in the current configuration. Failed calls are retried after a randomized backoff, and an agent
+ * that does not hold its watches is called at a limited rate.
  *
  * <table>
  *   <caption>Transitions of {@link State}</caption>
@@ -164,6 +165,7 @@
         private final DiscoveryClient.Call call = client.newCall(this);
         private final InetSocketAddress agent = address;
         private final boolean isWatch;
+        private final long startedAtMs = clock.monotonicMs();
         private long overdueTimer;
 
         private Poll(boolean isWatch) {
@@ -208,6 +210,7 @@
 
         @Override
         public void onBody(String body) {
+            long receivedAtMs = clock.monotonicMs();
             EndpointList list;
             try {
                 list = EndpointListReader.parse(body, settings);
@@ -223,11 +226,27 @@
             cancel();
             cancelOpenPolls(); // their answers cannot be newer
             cancelSupersededPolls();
-            onAnswer(list);
+            if (onAnswer(list)) {
+                long nowMs = clock.monotonicMs();
+                watchAfter(nowMs - startedAtMs, nowMs - receivedAtMs);
+            }
         }
     }
 
-    private void onAnswer(EndpointList list) {
+    private void watchAfter(long sinceCallMs, long handlingMs) {
+        long pauseMs = WatchPacing.pauseMs(sinceCallMs, handlingMs);
+        if (pauseMs == 0) {
+            poll();
+            return;
+        }
+        log.rateLimited(
+                "discovery answers at a high rate",
+                "after " + sinceCallMs + " ms, next call in " + pauseMs + " ms"); // log line: on-call guide
+        schedulePoll(pauseMs);
+    }
+
+    /** Returns whether the list can be watched from the revision of this answer; if not, it is fetched anew. */
+    private boolean onAnswer(EndpointList list) {
         if (state == State.LOST) {
             log.line("discovery back after " + (clock.monotonicMs() - lostAtMs) + " ms, revision " + list.revision());
         }
@@ -242,14 +261,14 @@
             revision = NO_REVISION;
             state = reachableState();
             schedulePoll(FIRST_BACKOFF_MS);
-            return;
+            return false;
         }
         if (list.complete() || !list.entries().isEmpty() || list.revision() != revision) {
             putInForce(list, address);
         }
         revision = list.revision();
         state = reachableState();
-        poll();
+        return true;
     }
 
     private void putInForce(EndpointList list, InetSocketAddress agent) {
