Draw the fault schedules of the rigs with shared code

Cause: the generators of rig soak and rig floods had the same random choices and the same graceful restart, and the check that a schedule is possible was one nested expression.

Change: RandomSchedule has what both share; ScheduleGenerator.TargetStates applies one step to the states of processes and servers. No behaviour changes.

--- a/tools/src/main/java/ploverdale/tools/fleet/FloodScheduleGenerator.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/FloodScheduleGenerator.java
@@ -1,38 +1,31 @@
 package ploverdale.tools.fleet;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import ploverdale.tools.fleet.FaultSchedule.Action;
-import ploverdale.tools.fleet.FaultSchedule.Step;
 import ploverdale.tools.stand.FloodForm;
 
 /**
  * Generates random schedules in which clients flood the gateways with messages of every form, one form after the other
  * and several at a time, while servers are silent or drain and the gateways are signalled.
  */
-public final class FloodScheduleGenerator {
+public final class FloodScheduleGenerator extends RandomSchedule {
     private static final long LASTS_MS = 10_000;
     private static final int MAX_FLOOD_MS = 2500;
     private static final int MAX_CLIENTS = 8;
     private static final int MANY_CLIENTS = 60;
     private static final long UNLIMITED_BYTES = Long.MAX_VALUE;
 
-    /** The longest request deadline, 1.5 s, plus 0.7 s. */
-    private static final long KILL_AFTER_TERM_MS = 2200;
-
     private static final double READ_PROBABILITY = 0.7;
     private static final double STORM_PROBABILITY = 0.3;
     private static final int MIN_STORM_BYTES = 20_000;
     private static final int MAX_STORM_BYTES = 400_000;
 
-    private final RandomGenerator random;
     private final RandomGenerator stormRandom; // of its own, so that a seed's other steps stay the same
-    private final List<Step> steps = new ArrayList<>();
 
     private FloodScheduleGenerator(long seed) {
-        random = new SplittableRandom(seed);
+        super(seed);
         stormRandom = new SplittableRandom(~seed);
     }
 
@@ -45,19 +38,7 @@
             generator.addSignals("n" + i);
         }
         generator.addServerFaults(servers);
-        return new FaultSchedule(seed, gateways, LASTS_MS, generator.steps);
-    }
-
-    private int between(int min, int max) {
-        return random.nextInt(min, max + 1);
-    }
-
-    private boolean withProbability(double probability) {
-        return random.nextDouble() < probability;
-    }
-
-    private void add(long atMs, Action action, Object... arguments) {
-        steps.add(Step.of(atMs, action, arguments));
+        return new FaultSchedule(seed, gateways, LASTS_MS, generator.steps());
     }
 
     private void addFloods(String gateway) {
@@ -97,10 +78,8 @@
     /** Restarts the gateway, or sends it new configurations in a row, while it is flooded. */
     private void addSignals(String gateway) {
         if (withProbability(0.3)) {
-            long atMs = between(1500, 5000);
-            add(atMs, Action.LEAVE, gateway);
-            add(atMs + KILL_AFTER_TERM_MS, Action.KILL, gateway);
-            add(atMs + KILL_AFTER_TERM_MS + between(20, 200), Action.START, gateway);
+            long killedMs = terminate(gateway, between(1500, 5000));
+            add(killedMs + between(20, 200), Action.START, gateway);
         } else if (withProbability(0.4)) {
             long atMs = between(800, 7000);
             add(atMs, Action.HANG_UP, gateway, "b");
--- a/tools/src/main/java/ploverdale/tools/fleet/ScheduleGenerator.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/ScheduleGenerator.java
@@ -1,7 +1,11 @@
 package ploverdale.tools.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import ploverdale.tools.fleet.FaultSchedule.Action;
@@ -69,32 +73,38 @@
      */
     static List<Step> consistent(List<Step> steps) {
         List<Step> kept = new ArrayList<>();
-        java.util.Map<String, Action> lastProcessAction = new java.util.HashMap<>();
-        java.util.Set<String> faultyServers = new java.util.HashSet<>();
+        TargetStates states = new TargetStates();
         for (Step step : new FaultSchedule(0, 0, 0, steps).steps()) {
+            if (states.apply(step)) {
+                kept.add(step);
+            }
+        }
+        return kept;
+    }
+
+    /** What the steps so far have done to processes and servers. */
+    private static final class TargetStates {
+        private final Map<String, Action> processFaults = new HashMap<>(); // the fault in force, by gateway
+        private final Set<String> faultyServers = new HashSet<>();
+
+        /** Applies a step; returns false, and changes nothing, if it is impossible. */
+        private boolean apply(Step step) {
             String target = step.arguments().get(0);
-            boolean possible = switch (step.action()) {
-                case KILL, LEAVE, STOP -> !lastProcessAction.containsKey(target);
-                case START ->
-                    lastProcessAction.get(target) == Action.KILL || lastProcessAction.get(target) == Action.LEAVE;
-                case GO_ON -> lastProcessAction.get(target) == Action.STOP;
-                case SERVER ->
-                    step.arguments().get(1).equals("restarts")
-                                    || step.arguments().get(1).equals("heals")
-                            ? faultyServers.remove(target)
-                            : faultyServers.isEmpty()
-                                    && faultyServers.add(target); // a group survives the loss of one server, not of two
+            return switch (step.action()) {
+                case KILL, LEAVE, STOP -> processFaults.putIfAbsent(target, step.action()) == null;
+                case START -> processFaults.remove(target, Action.KILL) || processFaults.remove(target, Action.LEAVE);
+                case GO_ON -> processFaults.remove(target, Action.STOP);
+                case SERVER -> changeServer(target, step.arguments().get(1));
                 default -> true;
             };
-            if (possible) {
-                kept.add(step);
-                switch (step.action()) {
-                    case KILL, LEAVE, STOP -> lastProcessAction.put(target, step.action());
-                    case START, GO_ON -> lastProcessAction.remove(target);
-                    default -> {}
-                }
+        }
+
+        /** Allows a fault of one server at a time: a group survives the loss of one, not of two. */
+        private boolean changeServer(String server, String change) {
+            if (change.equals("restarts") || change.equals("heals")) {
+                return faultyServers.remove(server);
             }
+            return faultyServers.isEmpty() && faultyServers.add(server);
         }
-        return kept;
     }
 }
--- a/tools/src/main/java/ploverdale/tools/fleet/SoakScheduleGenerator.java
+++ b/tools/src/main/java/ploverdale/tools/fleet/SoakScheduleGenerator.java
@@ -4,26 +4,20 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import java.util.SplittableRandom;
-import java.util.random.RandomGenerator;
 import ploverdale.tools.fleet.FaultSchedule.Action;
-import ploverdale.tools.fleet.FaultSchedule.Step;
 
 /**
  * Generates random fault schedules in which the endpoint list changes together with every other fault: servers drain, are
  * removed and return while gateways are killed, restarted with an old list, paused and moved to other discovery agents, and
  * agents are slow, outdated or silent.
  */
-public final class SoakScheduleGenerator {
+public final class SoakScheduleGenerator extends RandomSchedule {
     private static final long LASTS_MS = 10_000;
     private static final long FIRST_PROCESS_FAULT_MS = 600;
     private static final long LAST_STEP_MS = 8500;
     private static final int MIN_GATEWAYS = 2;
     private static final int MAX_GATEWAYS = 4;
 
-    /** The longest request deadline, 1.5 s, plus 0.7 s. */
-    private static final long KILL_AFTER_TERM_MS = 2200;
-
     private static final long MAX_PAUSE_MS = 150;
 
     /** How long an agent stays slow after a start: as long as a start may take. */
@@ -32,12 +26,10 @@
     /** The names of the two agents of each gateway; a process that is started follows the one named last. */
     private static final String[] AGENTS = {"a", "b"};
 
-    private final RandomGenerator random;
-    private final List<Step> steps = new ArrayList<>();
     private long firstDrainMs;
 
     private SoakScheduleGenerator(long seed) {
-        random = new SplittableRandom(seed);
+        super(seed);
     }
 
     /** Returns the schedule of the given seed. */
@@ -51,25 +43,13 @@
             generator.addMoveToOutdatedAgent("n" + i);
             generator.addNetworkFaults("n" + i, "n" + (i + 1) % gateways, servers);
         }
-        return new FaultSchedule(seed, gateways, LASTS_MS, generator.steps);
-    }
-
-    private int between(int min, int max) {
-        return random.nextInt(min, max + 1);
-    }
-
-    private boolean withProbability(double probability) {
-        return random.nextDouble() < probability;
-    }
-
-    private void add(long atMs, Action action, Object... arguments) {
-        steps.add(Step.of(atMs, action, arguments));
+        return new FaultSchedule(seed, gateways, LASTS_MS, generator.steps());
     }
 
     /** Drains one or two of the servers; at least one stays in service. */
     private void addDrains(List<String> servers) {
         List<String> shuffled = new ArrayList<>(servers);
-        Collections.shuffle(shuffled, new Random(random.nextLong()));
+        Collections.shuffle(shuffled, new Random(random().nextLong()));
         firstDrainMs = between(800, 3500);
         drain(shuffled.get(0), firstDrainMs);
         if (withProbability(0.6)) {
@@ -134,9 +114,8 @@
     }
 
     private void restart(String gateway, long atMs) {
-        add(atMs, Action.LEAVE, gateway);
-        add(atMs + KILL_AFTER_TERM_MS, Action.KILL, gateway);
-        start(gateway, atMs + KILL_AFTER_TERM_MS + between(20, 200));
+        long killedMs = terminate(gateway, atMs);
+        start(gateway, killedMs + between(20, 200));
     }
 
     /** Starts a gateway; in half of the cases its first agent is slow meanwhile. */
