Pace only watches of discovery, not the call for the complete list

Cause: the list call at a start is answered at once, as it should be, so the log line on early answers came at each start, and the first watch began 50 ms late. In that time a change is not known.

Change: the interval of 50 ms counts between watches. The pause of four times the handling of an answer counts after every answer, as before.

--- a/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
+++ b/gateway/src/main/java/ploverdale/net/discovery/Discovery.java
@@ -228,21 +228,23 @@
             cancelSupersededPolls();
             if (onAnswer(list)) {
                 long nowMs = clock.monotonicMs();
-                watchAfter(nowMs - startedAtMs, nowMs - receivedAtMs);
+                long intervalMs = isWatch ? nowMs - startedAtMs : WatchPacing.MIN_INTERVAL_MS;
+                watchAfter(intervalMs, nowMs - receivedAtMs);
             }
         }
     }
 
-    private void watchAfter(long sinceCallMs, long handlingMs) {
-        long pauseMs = WatchPacing.pauseMs(sinceCallMs, handlingMs);
+    private void watchAfter(long intervalMs, long handlingMs) {
+        if (intervalMs < WatchPacing.MIN_INTERVAL_MS) {
+            log.rateLimited(
+                    "discovery answers watches early", "after " + intervalMs + " ms"); // log line: on-call guide
+        }
+        long pauseMs = WatchPacing.pauseMs(intervalMs, handlingMs);
         if (pauseMs == 0) {
             poll();
-            return;
+        } else {
+            schedulePoll(pauseMs);
         }
-        log.rateLimited(
-                "discovery answers at a high rate",
-                "after " + sinceCallMs + " ms, next call in " + pauseMs + " ms"); // log line: on-call guide
-        schedulePoll(pauseMs);
     }
 
     /** Returns whether the list can be watched from the revision of this answer; if not, it is fetched anew. */
--- a/gateway/src/main/java/ploverdale/net/discovery/WatchPacing.java
+++ b/gateway/src/main/java/ploverdale/net/discovery/WatchPacing.java
@@ -5,7 +5,7 @@
  * list changes, as it should be, is followed by the next one at once.
  */
 final class WatchPacing {
-    /** Time between the start of a call and that of the watch after it. */
+    /** Time between the start of a watch and that of the next one. */
     static final long MIN_INTERVAL_MS = 50;
 
     /** How many times as long as the handling of an answer the pause after it is. */
@@ -19,12 +19,12 @@
     /**
      * Returns the time from the handling of an answer to the next watch.
      *
-     * @param sinceCallMs time since the call that was answered was started
+     * @param intervalMs time since the watch that was answered was started
      * @param handlingMs how long it took to handle the answer
      */
-    static long pauseMs(long sinceCallMs, long handlingMs) {
-        long untilNextCall = MIN_INTERVAL_MS - sinceCallMs;
+    static long pauseMs(long intervalMs, long handlingMs) {
+        long untilNextWatch = MIN_INTERVAL_MS - intervalMs;
         long afterHandling = Math.min(MAX_PAUSE_MS, PAUSE_PER_HANDLING * handlingMs);
-        return Math.max(0, Math.max(untilNextCall, afterHandling));
+        return Math.max(0, Math.max(untilNextWatch, afterHandling));
     }
 }
