Look at the primary's role again before a read is written to it

Cause: the server is chosen when the read arrives, and the read waits for a connection. What the gateway learned of the role meanwhile was not looked at: the conditions passed with an attempt had a deadline only.

Change: an attempt of a read with an age limit that was sent to the primary carries that condition (WriteConditions, WriteDeadline before). If the server is the known primary no longer when the connection is there, the attempt ends as never sent and the request is dispatched again. Writes need no such condition, since a replica turns them away.

--- a/gateway/src/main/java/ploverdale/model/Action.java
+++ b/gateway/src/main/java/ploverdale/model/Action.java
@@ -13,10 +13,10 @@
      * Forward a request to a server.
      *
      * @param timeLimit how long to wait for the answer, from now
-     * @param writeDeadline until when the request may be written to the server; matters if a connection has to be
-     *     established first
+     * @param writeConditions checked right before the request is written to the server; matters if a connection has to
+     *     be established first
      */
-    record StartAttempt(RequestId request, ServerId server, long timeLimit, WriteDeadline writeDeadline)
+    record StartAttempt(RequestId request, ServerId server, long timeLimit, WriteConditions writeConditions)
             implements Action {
         @Override
         public void dispatchTo(ActionHandler handler) {
--- a/gateway/src/main/java/ploverdale/net/GatewayActions.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayActions.java
@@ -8,7 +8,7 @@
 import ploverdale.model.OutboundActionHandler;
 import ploverdale.model.RequestId;
 import ploverdale.model.ServerId;
-import ploverdale.model.WriteDeadline;
+import ploverdale.model.WriteConditions;
 import ploverdale.net.client.AcceptedRequest;
 import ploverdale.net.client.ClientConnections;
 import ploverdale.net.discovery.Discovery;
@@ -101,17 +101,28 @@
 
     /**
      * Returns whether the attempt may still be written. It may have waited for a connection. Meanwhile its client may
-     * have disconnected, its server may be draining, its write deadline may have passed, or the server's position that
-     * the router relied on may have become invalid because the clock was corrected.
+     * have disconnected, its server may be draining or no longer be the primary, its write deadline may have passed, or
+     * the server's position that the router relied on may have become invalid because the clock was corrected.
      */
     private boolean mayBeWritten(Action.StartAttempt attempt, AcceptedRequest accepted, int clockChanges) {
-        return clients.isAwaited(accepted) && mayReceive(attempt.server()) && isInTime(attempt, clockChanges);
+        return clients.isAwaited(accepted)
+                && mayReceive(attempt.server())
+                && hasRequiredRole(attempt)
+                && isInTime(attempt, clockChanges);
+    }
+
+    private boolean hasRequiredRole(Action.StartAttempt attempt) {
+        boolean hasRole = !attempt.writeConditions().reliesOnPrimary() || loop.isPrimary(attempt.server());
+        if (!hasRole) {
+            log.rateLimited("not sent to a former primary", attempt.server().value()); // log line: on-call guide
+        }
+        return hasRole;
     }
 
     private boolean isInTime(Action.StartAttempt attempt, int clockChanges) {
-        WriteDeadline deadline = attempt.writeDeadline();
-        boolean positionIsValid = !deadline.reliesOnPosition() || serverClock.offsetChanges() == clockChanges;
-        boolean inTime = positionIsValid && deadline.isMet(serverClock.now());
+        WriteConditions conditions = attempt.writeConditions();
+        boolean positionIsValid = !conditions.reliesOnPosition() || serverClock.offsetChanges() == clockChanges;
+        boolean inTime = positionIsValid && conditions.isInTime(serverClock.now());
         if (!inTime) {
             log.rateLimited(
                     "not sent in time",
--- a/gateway/src/main/java/ploverdale/net/eventloop/RouterEventLoop.java
+++ b/gateway/src/main/java/ploverdale/net/eventloop/RouterEventLoop.java
@@ -145,6 +145,11 @@
         return router.mayReceive(server);
     }
 
+    /** Returns whether the server is the known primary of its group. Checked again like {@link #mayReceive}. */
+    public boolean isPrimary(ServerId server) {
+        return router.isPrimary(server);
+    }
+
     /**
      * Returns when the router decided on the action that is being carried out; time limits in the action count from
      * then.
--- a/gateway/src/main/java/ploverdale/routing/RequestDispatcher.java
+++ b/gateway/src/main/java/ploverdale/routing/RequestDispatcher.java
@@ -12,7 +12,7 @@
 import ploverdale.model.RequestClass.Consistency;
 import ploverdale.model.RequestClass.Idempotence;
 import ploverdale.model.RequestId;
-import ploverdale.model.WriteDeadline;
+import ploverdale.model.WriteConditions;
 import ploverdale.state.PendingRequest;
 import ploverdale.state.ReplicaGroup;
 import ploverdale.state.ServerState;
@@ -140,24 +140,28 @@
             attemptUntil = Math.min(attemptUntil, retryPolicy.earlyTimeoutAt(request, server));
         }
         long timeLimit = Math.max(1, attemptUntil - now);
-        context.emit(new Action.StartAttempt(request.id(), server.id(), timeLimit, writeDeadline(request, server)));
+        context.emit(new Action.StartAttempt(request.id(), server.id(), timeLimit, writeConditions(request, server)));
         request.startAttempt(server, needsEarlyTimeout, now);
         server.load().attemptStarted(request);
         slowStart.recordAttempt(server, request.usualLatency(), now);
     }
 
     /**
-     * Returns until when the request may be written to the server, since time passes while a connection is established.
-     * A bounded read must be written before the replica's known position is too old, unless replicas check the
-     * staleness themselves. A request that may have run must be written while servers recognize its idempotency key.
+     * Returns the conditions under which the request may be written to the server, since time passes while a connection
+     * is established. A bounded read must be written before the replica's known position is too old, unless replicas
+     * check the staleness themselves; a read that was sent to the primary for its data, while that is the primary. A
+     * request that may have run must be written while servers recognize its idempotency key.
      */
-    private WriteDeadline writeDeadline(PendingRequest request, ServerState server) {
+    private WriteConditions writeConditions(PendingRequest request, ServerState server) {
         boolean positionAges =
                 request.consistency() == Consistency.BOUNDED && !server.isPrimary() && !settings.replicasCheckReads();
         long freshUntil = positionAges
                 ? server.replication().position() + request.requestClass().stalenessBound()
                 : Long.MAX_VALUE;
-        return new WriteDeadline(Math.min(freshUntil, request.retryUntil()), positionAges);
+        return new WriteConditions(
+                Math.min(freshUntil, request.retryUntil()),
+                positionAges,
+                server.isPrimary() && request.isDataAgeLimited());
     }
 
     /**
--- a/gateway/src/main/java/ploverdale/routing/Router.java
+++ b/gateway/src/main/java/ploverdale/routing/Router.java
@@ -6,6 +6,7 @@
 import ploverdale.model.EventHandler;
 import ploverdale.model.Quota;
 import ploverdale.model.ServerId;
+import ploverdale.state.ServerState;
 import ploverdale.state.SessionWrites;
 
 /**
@@ -53,4 +54,9 @@
     public boolean mayReceive(ServerId server) {
         return directory.isActive(server);
     }
+
+    /** Whether this server is the known primary of its group. */
+    public boolean isPrimary(ServerId server) {
+        return directory.find(server).filter(ServerState::isPrimary).isPresent();
+    }
 }
--- a/gateway/src/main/java/ploverdale/state/PendingRequest.java
+++ b/gateway/src/main/java/ploverdale/state/PendingRequest.java
@@ -87,6 +87,11 @@
         return requestClass.consistency() == Consistency.WRITE;
     }
 
+    /** Returns whether this is a read whose data must not be older than some time. */
+    public boolean isDataAgeLimited() {
+        return !isWrite() && requestClass.consistency() != Consistency.UNBOUNDED;
+    }
+
     /** Returns the latency that requests of this class usually have. */
     public double usualLatency() {
         return latency.usual();
--- a/gateway/src/test/java/ploverdale/routing/RetryPolicyTest.java
+++ b/gateway/src/test/java/ploverdale/routing/RetryPolicyTest.java
@@ -9,11 +9,11 @@
 import ploverdale.model.Event.Outcome;
 import ploverdale.model.RequestId;
 import ploverdale.model.Ticks;
-import ploverdale.model.WriteDeadline;
+import ploverdale.model.WriteConditions;
 
 /** Tests through the router when a failed attempt is retried and when its request fails. */
 class RetryPolicyTest {
-    private static final WriteDeadline NO_DEADLINE = new WriteDeadline(Long.MAX_VALUE, false);
+    private static final WriteConditions UNCONDITIONAL = new WriteConditions(Long.MAX_VALUE, false, false);
 
     private final RouterDriver driver = RouterDriver.withCaughtUpReplicas();
 
@@ -76,22 +76,25 @@
         driver.attemptEnded(write, 0, "p", Outcome.FAILED, null);
         driver.nowMs += 700;
         driver.attemptEnded(write, 1, "p", Outcome.FAILED, null);
-        assertThat(writeDeadlines(write))
-                .containsExactly(NO_DEADLINE, new WriteDeadline(windowEnd, false), new WriteDeadline(windowEnd, false));
+        assertThat(writeConditions(write))
+                .containsExactly(
+                        UNCONDITIONAL,
+                        new WriteConditions(windowEnd, false, false),
+                        new WriteConditions(windowEnd, false, false));
     }
 
     @Test
     void aWriteThatCannotHaveRunMayBeWrittenAgainAtAnyTime() {
         RequestId write = driver.request(TestRouterSettings.WRITE_WITH_IDEMPOTENCY_KEY);
         driver.attemptEnded(write, 0, "p", Outcome.NEVER_SENT, null);
-        assertThat(writeDeadlines(write)).containsExactly(NO_DEADLINE, NO_DEADLINE);
+        assertThat(writeConditions(write)).containsExactly(UNCONDITIONAL, UNCONDITIONAL);
     }
 
-    private List<WriteDeadline> writeDeadlines(RequestId request) {
+    private List<WriteConditions> writeConditions(RequestId request) {
         return driver.actions.stream()
                 .filter(action -> action instanceof Action.StartAttempt start
                         && start.request().equals(request))
-                .map(action -> ((Action.StartAttempt) action).writeDeadline())
+                .map(action -> ((Action.StartAttempt) action).writeConditions())
                 .toList();
     }
 
--- a/gateway/src/test/java/ploverdale/routing/StalenessFilterTest.java
+++ b/gateway/src/test/java/ploverdale/routing/StalenessFilterTest.java
@@ -2,13 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import ploverdale.model.Action;
 import ploverdale.model.Event.Outcome;
 import ploverdale.model.LoadReport.Role;
 import ploverdale.model.ReplicaGuarantees;
 import ploverdale.model.RequestId;
-import ploverdale.model.WriteDeadline;
+import ploverdale.model.WriteConditions;
 
 /** Tests through the router which replicas are fresh enough for a read. */
 class StalenessFilterTest {
@@ -102,12 +103,27 @@
                 .orElseThrow();
         assertThat(readAttempt.server().value()).startsWith("r");
         // The router takes a position to be up to a millisecond earlier than reported.
-        assertThat(readAttempt.writeDeadline()).isEqualTo(new WriteDeadline(100_000 * 10 - 10 + 5000, true));
+        assertThat(readAttempt.writeConditions()).isEqualTo(new WriteConditions(100_000 * 10 - 10 + 5000, true, false));
         RequestId write = freshDriver.request(TestRouterSettings.WRITE);
         assertThat(freshDriver.actions.stream()
                         .filter(action -> action instanceof Action.StartAttempt start
                                 && start.request().equals(write))
-                        .map(action -> ((Action.StartAttempt) action).writeDeadline()))
-                .containsExactly(new WriteDeadline(Long.MAX_VALUE, false));
+                        .map(action -> ((Action.StartAttempt) action).writeConditions()))
+                .containsExactly(new WriteConditions(Long.MAX_VALUE, false, false));
+    }
+
+    @Test
+    void onlyReadsWithAnAgeLimitRelyOnThePrimary() {
+        RouterDriver primaryDriver = RouterDriver.withCaughtUpReplicas();
+        RequestId fresh = primaryDriver.request(TestRouterSettings.FRESH_READ);
+        RequestId write = primaryDriver.request(TestRouterSettings.WRITE);
+        List<Action.StartAttempt> attempts = primaryDriver.actions.stream()
+                .filter(Action.StartAttempt.class::isInstance)
+                .map(Action.StartAttempt.class::cast)
+                .toList();
+        assertThat(attempts).extracting(Action.StartAttempt::request).containsExactly(fresh, write);
+        assertThat(attempts)
+                .extracting(attempt -> attempt.writeConditions().reliesOnPrimary())
+                .containsExactly(true, false);
     }
 }
