--- a/gateway/src/test/java/ploverdale/net/discovery/WatchPacingTest.java
+++ b/gateway/src/test/java/ploverdale/net/discovery/WatchPacingTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Tests the pauses between watches of discovery. */
 class WatchPacingTest {
     @ParameterizedTest
     @CsvSource({
