Install the handler of SIGTERM before the first connection is accepted

Seen: a client connects while a gateway starts, its request is read and held, SIGTERM comes: its connection is closed without an answer, and the process ends with the signal's exit code.

Cause: a gateway listens before it serves, and the handler was installed after the start was complete.

Change: the handler is installed right before the gateway listens, and a shutdown runs held queries, or rejects them where no server is known yet. It does nothing if the start failed, so that the exit code is still 1. Held queries are taken from a queue.

--- a/gateway/src/main/java/ploverdale/cli/ServeCommand.java
+++ b/gateway/src/main/java/ploverdale/cli/ServeCommand.java
@@ -25,9 +25,12 @@
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         reloadOnHangUp(started, log);
         Vertx vertx = SingleLoopVertx.create();
-        Gateway gateway = start(vertx, log, configuration, quotaSettings);
-        started.complete(gateway);
-        shutDownOnTermination(gateway);
+        try {
+            started.complete(start(vertx, log, configuration, quotaSettings, started));
+        } catch (IOException failure) {
+            started.completeExceptionally(failure);
+            throw failure;
+        }
         new CountDownLatch(1).await(); // the shutdown hook terminates the process
         return 0;
     }
@@ -47,19 +50,30 @@
     }
 
     private static Gateway start(
-            Vertx vertx, Log log, ConfigurationFile configuration, Optional<QuotaSettings> quotaSettings)
+            Vertx vertx,
+            Log log,
+            ConfigurationFile configuration,
+            Optional<QuotaSettings> quotaSettings,
+            CompletableFuture<Gateway> started)
             throws IOException, InterruptedException {
         try {
             return Futures.await(Gateway.builder(vertx, log, configuration)
                     .quotaSettings(quotaSettings)
+                    .beforeListening(gateway -> shutDownOnTermination(gateway, started))
                     .start());
         } catch (IOException failure) {
             throw new IOException("cannot listen at " + configuration.listen() + ": " + failure.getMessage());
         }
     }
 
-    private static void shutDownOnTermination(Gateway gateway) {
-        Thread hook = new Thread(() -> shutDown(gateway), "planned-restart");
+    /** Installs the handler of SIGTERM. It does nothing if the process exits because the start has failed. */
+    private static void shutDownOnTermination(Gateway gateway, CompletableFuture<Gateway> started) {
+        Runnable shutDownUnlessFailed = () -> {
+            if (!started.isCompletedExceptionally()) {
+                shutDown(gateway);
+            }
+        };
+        Thread hook = new Thread(shutDownUnlessFailed, "planned-restart");
         Runtime.getRuntime().addShutdownHook(hook);
     }
 
--- a/gateway/src/main/java/ploverdale/net/Gateway.java
+++ b/gateway/src/main/java/ploverdale/net/Gateway.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import ploverdale.clock.Clock;
 import ploverdale.clock.ServerClock;
 import ploverdale.limits.ConnectionLimits;
@@ -56,6 +57,7 @@
     private final RequestHistory history;
     private final GatewayStartup startup;
     private final ConfigurationReload reload;
+    private final Consumer<Gateway> beforeListening;
     /**
      * Null until the start is complete. The field keeps the server reachable: Vert.x may close one that is no longer
      * referenced.
@@ -90,6 +92,7 @@
         serverClock.whenChanged(this::onClockOffsetChanged);
         startup = new GatewayStartup(options, loop, clients, peers, actions);
         reload = new ConfigurationReload(log, loop, limits, discovery, configuration);
+        beforeListening = options.beforeListening();
     }
 
     /** Returns a builder for a gateway. May be called on any thread. */
@@ -109,7 +112,7 @@
     }
 
     private void start(Promise<Gateway> started) {
-        startup.run(startedEvent(), new StartupEndpointLists())
+        startup.run(startedEvent(), new StartupEndpointLists(), () -> beforeListening.accept(this))
                 .onSuccess(server -> {
                     listener = server;
                     started.complete(this);
@@ -234,7 +237,7 @@
     }
 
     /**
-     * Begins a graceful shutdown now.
+     * Begins a graceful shutdown now, also if the start is not complete yet.
      *
      * @param finished counted down when the process may exit
      */
--- a/gateway/src/main/java/ploverdale/net/GatewayBuilder.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayBuilder.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.Optional;
+import java.util.function.Consumer;
 import ploverdale.clock.Clock;
 import ploverdale.log.Log;
 import ploverdale.quota.QuotaSettings;
@@ -18,6 +19,7 @@
     private Clock clock = Clock.system();
     private Context context;
     private boolean warmUp = true;
+    private Consumer<Gateway> beforeListening = gateway -> {};
 
     GatewayBuilder(Vertx vertx, Log log, ConfigurationFile configuration) {
         this.vertx = vertx;
@@ -52,6 +54,12 @@
         return this;
     }
 
+    /** Sets what is called on the event loop with the gateway right before it accepts the first connection. */
+    public GatewayBuilder beforeListening(Consumer<Gateway> beforeListening) {
+        this.beforeListening = beforeListening;
+        return this;
+    }
+
     /**
      * Starts the gateway. May be called on any thread.
      *
@@ -59,7 +67,8 @@
      */
     public Future<Gateway> start() {
         Context chosenContext = context == null ? vertx.getOrCreateContext() : context;
-        GatewayOptions options = new GatewayOptions(vertx, chosenContext, log, configuration, quotaSettings, clock);
+        GatewayOptions options =
+                new GatewayOptions(vertx, chosenContext, log, configuration, quotaSettings, clock, beforeListening);
         if (!warmUp) {
             return Gateway.start(options);
         }
--- a/gateway/src/main/java/ploverdale/net/GatewayStartup.java
+++ b/gateway/src/main/java/ploverdale/net/GatewayStartup.java
@@ -78,14 +78,18 @@
      *
      * @param settings the router's first event
      * @param lists the first endpoint lists for the router
+     * @param beforeListening called right before the first connection is accepted
      * @return completes with the listening socket when the gateway serves, and fails if it cannot listen
      */
-    Future<NetServer> run(Event.Started settings, EndpointLists lists) {
+    Future<NetServer> run(Event.Started settings, EndpointLists lists, Runnable beforeListening) {
         Promise<NetServer> serving = Promise.promise();
         loop.enqueue(settings);
         lists.request();
         awaitLists(lists)
-                .compose(ignored -> new ListeningSocket(vertx, options.log(), clients).listen(configuration.listen()))
+                .compose(ignored -> {
+                    beforeListening.run();
+                    return new ListeningSocket(vertx, options.log(), clients).listen(configuration.listen());
+                })
                 .compose(listener -> peers.listen(configuration.peerListen()).map(listener))
                 .onSuccess(listener -> awaitLoopWithoutLag(lists, () -> serve(listener, serving)))
                 .onFailure(serving::fail);
--- a/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
+++ b/gateway/src/main/java/ploverdale/net/client/ClientConnections.java
@@ -90,7 +90,7 @@
 
     // -- Requests
 
-    /** Starts to run queries, beginning with those that have been held. */
+    /** Starts to run queries, beginning with those that have been held. Has no effect if it was called before. */
     public void startServing() {
         runtime.status().startServing();
         runtime.sessions().runHeldQueries();
--- a/gateway/src/main/java/ploverdale/net/client/SessionRegistry.java
+++ b/gateway/src/main/java/ploverdale/net/client/SessionRegistry.java
@@ -1,6 +1,7 @@
 package ploverdale.net.client;
 
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -8,7 +9,7 @@
 /** The open sessions, in the order in which they were accepted. Used on the event loop only. */
 final class SessionRegistry {
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
-    private final List<ClientSession> holdingQuery = new ArrayList<>(); // in order of arrival of the queries
+    private final Deque<ClientSession> holdingQuery = new ArrayDeque<>(); // in order of arrival of the queries
 
     /** Adds a newly opened session. */
     void add(ClientSession session) {
@@ -36,9 +37,13 @@
         holdingQuery.add(session);
     }
 
-    /** Runs the held queries of all sessions, in the order in which they arrived. */
+    /**
+     * Runs the held queries of all sessions, in the order in which they arrived. A query may close its own session or
+     * another one, which removes that session from those that hold a query.
+     */
     void runHeldQueries() {
-        holdingQuery.forEach(ClientSession::runHeldQuery);
-        holdingQuery.clear();
+        while (!holdingQuery.isEmpty()) {
+            holdingQuery.poll().runHeldQuery();
+        }
     }
 }
--- a/gateway/src/main/java/ploverdale/net/shutdown/GracefulShutdownRunner.java
+++ b/gateway/src/main/java/ploverdale/net/shutdown/GracefulShutdownRunner.java
@@ -67,6 +67,7 @@
         long answerWithinMs = Math.max(1, shutdown.answerByMs() - elapsedMs());
         clients.capDeadlines(clock.now() + answerWithinMs * TICKS_PER_MS);
         loop.enqueue(new Event.ShutdownBegun());
+        clients.startServing(); // if the start is not complete, queries are held
         // Requests accepted before the shutdown may have deadlines after the exit of the process.
         vertx.setTimer(answerWithinMs, id -> loop.enqueue(new Event.ShutdownDeadline()));
         leaveMembership.run();
